--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemons and the operator's program of chestnutnotch. The binaries are thin; see `cmd`.
--- /dev/null
+++ b/crates/core/src/claim/mod.rs
@@ -0,0 +1,1 @@
+//! Register of non-idempotent calls: each is sent at most once.
--- /dev/null
+++ b/crates/core/src/ledger/mod.rs
@@ -0,0 +1,12 @@
+//! Prepaid budgets: the ledger that the control replicas agree on, and the purse of each holder.
+//!
+//! The ledger splits a budget into allotments; a holder reserves the worst case of a request out of
+//! its own allotment and needs nobody's leave for it, in a partition neither.
+
+mod account;
+mod purse;
+
+pub use account::Ledger;
+pub use purse::Purse;
+pub use purse::Reservation;
+pub use purse::Short;
--- /dev/null
+++ b/crates/core/src/order/mod.rs
@@ -0,0 +1,1 @@
+//! Orders to upstreams: who gives them, and under which fencing number.
--- /dev/null
+++ b/crates/core/src/replica/mod.rs
@@ -0,0 +1,1 @@
+//! Agreement of the control replicas on one log of commands.
--- /dev/null
+++ b/crates/core/src/upstream/mod.rs
@@ -0,0 +1,16 @@
+//! Upstreams as a router knows them: announcements, choice, drain, ejection, quarantine.
+
+pub mod announce;
+pub mod table;
+
+pub use announce::Announcement;
+pub use announce::Kind;
+pub use announce::Load;
+pub use announce::Offer;
+pub use announce::Phase;
+pub use table::Absent;
+pub use table::Attempt;
+pub use table::Ended;
+pub use table::Pick;
+pub use table::Table;
+pub use table::Wanted;
--- /dev/null
+++ b/crates/fleet/src/controllers/mod.rs
@@ -0,0 +1,3 @@
+//! Actors that drive the pure decisions of `chestnutnotch-core`.
+
+pub mod replica;
--- /dev/null
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP towards callers and upstreams.
--- /dev/null
+++ b/crates/fleet/src/edges/mod.rs
@@ -0,0 +1,6 @@
+//! What touches the world outside a process. Each kind of edge is one module, so that it can change
+//! alone.
+
+pub mod disk;
+pub mod http;
+pub mod rpc;
--- /dev/null
+++ b/crates/fleet/src/filters/mod.rs
@@ -0,0 +1,1 @@
+//! The chain that each caller's request passes through.
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,15 @@
+//! chestnutnotch: a router fleet for prepaid token budgets.
+//!
+//! The daemons are thin; what they do is here.
+//!
+//! - [`settings`]: one TOML file for each process.
+//! - [`timer`]: the one source of time that parts subscribe to.
+//! - [`edges`]: what touches the world outside a process: HTTP, RPC, disk.
+//! - [`filters`]: the chain that each caller's request passes through.
+//! - [`controllers`]: actors that drive the pure decisions of `chestnutnotch-core`.
+
+pub mod controllers;
+pub mod edges;
+pub mod filters;
+pub mod settings;
+pub mod timer;
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
