--- /dev/null
+++ b/crates/core/src/replica/append.rs
@@ -0,0 +1,252 @@
+//! Replication of entries and their commitment.
+
+use super::input::Output;
+use super::input::Save;
+use super::log::Entry;
+use super::log::Payload;
+use super::log::Position;
+use super::message::Append;
+use super::message::Appended;
+use super::message::Message;
+use super::message::Outcome;
+use super::node::Node;
+use super::node::Role;
+use super::peer::Flow;
+use super::peer::Peer;
+use crate::id::ReplicaId;
+use crate::unit::Index;
+
+/// Most entries in one append.
+const APPEND_ENTRIES: usize = 1024;
+
+/// Most command bytes in one append, unless a single command is larger.
+const APPEND_BYTES: usize = 256 << 10;
+
+impl Node {
+    /// Appends entries of the own term and sends them on.
+    pub(super) fn append_own(&mut self, payloads: Vec<Payload>, out: &mut Vec<Output>) {
+        let mut entries = Vec::with_capacity(payloads.len());
+        for payload in payloads {
+            let at = Position {
+                term: self.term,
+                index: self.log.last().index.next(),
+            };
+            let entry = Entry { at, payload };
+            self.log.push(entry.clone());
+            entries.push(entry);
+        }
+        out.push(Output::Save(Save::Entries(entries)));
+        self.adopt_peers();
+        self.send_all(false, out);
+    }
+
+    /// Follows a change of the members.
+    fn adopt_peers(&mut self) {
+        let next = self.log.last().index;
+        let id = self.id;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let members = self.log.members();
+        leader.peers.retain(|peer, _| members.0.contains_key(peer));
+        for member in members.0.keys().filter(|member| **member != id) {
+            leader
+                .peers
+                .entry(*member)
+                .or_insert_with(|| Peer::new(next));
+        }
+    }
+
+    /// Sends each member a message of a new round.
+    pub(super) fn start_round(&mut self, out: &mut Vec<Output>) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        leader.round += 1;
+        self.send_all(true, out);
+        self.confirm_reads(out);
+    }
+
+    fn send_all(&mut self, beat: bool, out: &mut Vec<Output>) {
+        let members: Vec<ReplicaId> = self.members().0.keys().copied().collect();
+        for member in members {
+            self.send_append(member, beat, out);
+        }
+    }
+
+    /// Sends what a member lacks, as far as it may be sent now; a beat is sent in any case.
+    pub(super) fn send_append(&mut self, to: ReplicaId, beat: bool, out: &mut Vec<Output>) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(peer) = leader.peers.get_mut(&to) else {
+            return;
+        };
+        if matches!(peer.flow, Flow::Transfer { .. }) {
+            if beat {
+                self.send_chunk(to, out);
+            }
+            return;
+        }
+        let mut beat = beat;
+        while beat || (peer.ready() && peer.next <= self.log.last().index) {
+            let index = peer.next.saturating_sub(Index(1));
+            let Some(term) = self.log.term(index) else {
+                return self.start_transfer(to, out);
+            };
+            let entries = match peer.flow {
+                Flow::Stream(_) if !peer.ready() => &[],
+                _ => self.log.slice(peer.next, APPEND_ENTRIES, APPEND_BYTES),
+            };
+            match &mut peer.flow {
+                Flow::Probe { sent } => *sent = true,
+                Flow::Stream(flight) if !entries.is_empty() => *flight += 1,
+                Flow::Stream(_) | Flow::Transfer { .. } => {}
+            }
+            if let (Flow::Stream(_), Some(entry)) = (&peer.flow, entries.last()) {
+                peer.next = entry.at.index.next();
+            }
+            beat = false;
+            let message = Message::Append(Append {
+                term: self.term,
+                round: leader.round,
+                prev: Position { term, index },
+                entries: entries.to_vec(),
+                commit: self.commit,
+            });
+            out.push(Output::Send {
+                to,
+                message,
+                synced: false,
+            });
+        }
+    }
+
+    pub(super) fn on_append(&mut self, from: ReplicaId, append: Append, out: &mut Vec<Output>) {
+        if self.leads() {
+            return;
+        }
+        self.accept_leader(from, out);
+        let round = append.round;
+        let prev = append.prev;
+        let outcome = if prev.index < self.log.base().index {
+            // What is dropped was committed, and a leader holds all that is committed.
+            Outcome::Matched(self.commit)
+        } else if self.log.holds(prev) {
+            match self.merge(append, out) {
+                Some(index) => Outcome::Matched(index),
+                None => return,
+            }
+        } else {
+            Outcome::Conflict {
+                prev: prev.index,
+                hint: self.log.at_most(prev.index, prev.term),
+            }
+        };
+        let message = Message::Appended(Appended {
+            term: self.term,
+            round,
+            outcome,
+        });
+        self.answer(from, message, out);
+    }
+
+    /// Takes in entries behind a shared one and returns the last shared index. Refuses to replace a
+    /// committed entry.
+    fn merge(&mut self, append: Append, out: &mut Vec<Output>) -> Option<Index> {
+        let end = Index(
+            append
+                .prev
+                .index
+                .0
+                .saturating_add(append.entries.len() as u64),
+        );
+        let mut expected = append.prev.index;
+        for entry in &append.entries {
+            expected = expected.next();
+            if entry.at.index != expected {
+                return None;
+            }
+        }
+        let known = append
+            .entries
+            .iter()
+            .take_while(|entry| self.log.holds(entry.at))
+            .count();
+        let fresh: Vec<Entry> = append.entries.into_iter().skip(known).collect();
+        if let Some(first) = fresh.first().map(|entry| entry.at.index) {
+            if first <= self.commit {
+                return None;
+            }
+            self.log.truncate(first);
+            self.synced = self.synced.min(first.saturating_sub(Index(1)));
+            for entry in &fresh {
+                self.log.push(entry.clone());
+            }
+            out.push(Output::Save(Save::Entries(fresh)));
+        }
+        self.commit_to(append.commit.min(end), out);
+        Some(end)
+    }
+
+    pub(super) fn on_appended(
+        &mut self,
+        from: ReplicaId,
+        appended: Appended,
+        out: &mut Vec<Output>,
+    ) {
+        let last = self.log.last().index;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(peer) = leader.peers.get_mut(&from) else {
+            return;
+        };
+        peer.active = true;
+        peer.round = peer.round.max(appended.round.min(leader.round));
+        match appended.outcome {
+            Outcome::Matched(index) => peer.matches(index.min(last)),
+            Outcome::Conflict { prev, hint } => {
+                let current = prev.next() == peer.next || matches!(peer.flow, Flow::Stream(_));
+                if current && prev > peer.matched {
+                    let shared = self.log.at_most(hint.index, hint.term);
+                    peer.conflicts(shared.index.min(hint.index));
+                }
+            }
+        }
+        self.advance_commit(out);
+        self.confirm_reads(out);
+        self.maintain(out);
+        self.send_append(from, false, out);
+    }
+
+    /// Commits what a quorum has synced, if its last entry is of the own term.
+    pub(super) fn advance_commit(&mut self, out: &mut Vec<Output>) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let own = if self.rules.hasty {
+            self.log.last().index
+        } else {
+            self.synced
+        };
+        let matched = |member| match leader.peers.get(&member) {
+            Some(peer) => peer.matched,
+            None if member == self.id => own,
+            None => Index::ZERO,
+        };
+        let reached = self.log.members().reached(matched);
+        let current = self.log.term(reached) == Some(self.term);
+        if reached > self.commit && (current || self.rules.counting) {
+            self.commit_to(reached, out);
+            self.maintain(out);
+        }
+    }
+
+    fn commit_to(&mut self, index: Index, out: &mut Vec<Output>) {
+        if index > self.commit {
+            self.commit = index;
+            out.push(Output::Commit(index));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/replica/change.rs
@@ -0,0 +1,93 @@
+//! Membership change, one step at a time.
+
+use std::net::SocketAddr;
+
+use super::input::Output;
+use super::log::Payload;
+use super::members::Member;
+use super::members::Members;
+use super::node::Node;
+use super::node::Role;
+use crate::id::ReplicaId;
+
+/// Most members of a group, learners included.
+const MEMBERS: usize = 16;
+
+impl Node {
+    /// Adds a replica without state as a learner. An older learner at its address goes.
+    pub(super) fn greet(&mut self, id: ReplicaId, address: SocketAddr, out: &mut Vec<Output>) {
+        if !self.may_change() || self.members().0.contains_key(&id) {
+            return;
+        }
+        let mut members = self.members().clone();
+        let own = members.0.get(&self.id).map(|member| member.address);
+        members
+            .0
+            .retain(|_, member| member.voter || member.address != address);
+        if own == Some(address) || members.0.len() >= MEMBERS {
+            return;
+        }
+        let member = Member {
+            address,
+            voter: false,
+            since: self.log.last().index.next(),
+        };
+        members.0.insert(id, member);
+        self.append_own(vec![Payload::Members(members)], out);
+    }
+
+    /// Takes the next step of a repair: promotes a learner that has caught up, or else removes a
+    /// voter whose address a younger voter has taken over.
+    pub(super) fn maintain(&mut self, out: &mut Vec<Output>) {
+        if !self.may_change() {
+            return;
+        }
+        let mut members = self.members().clone();
+        if let Some(learner) = self.caught_up() {
+            if let Some(member) = members.0.get_mut(&learner) {
+                member.voter = true;
+            }
+        } else if let Some(voter) = superseded(&members).filter(|id| *id != self.id) {
+            members.0.remove(&voter);
+        } else {
+            return;
+        }
+        self.append_own(vec![Payload::Members(members)], out);
+    }
+
+    /// Whether a change may start: the last one is committed, and so is an entry of the own term.
+    fn may_change(&self) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let settled = self.rules.overlapping || self.log.changed() <= self.commit;
+        let current = self.rules.premature || leader.first <= self.commit;
+        settled && current
+    }
+
+    fn caught_up(&self) -> Option<ReplicaId> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        self.members().learners().find(|id| {
+            leader.peers.get(id).is_some_and(|peer| {
+                self.rules.early || (peer.active && peer.matched >= self.commit)
+            })
+        })
+    }
+}
+
+/// A voter whose address a younger voter has.
+fn superseded(members: &Members) -> Option<ReplicaId> {
+    let younger = |old: &Member| {
+        members
+            .0
+            .values()
+            .any(|new| new.voter && new.address == old.address && new.since > old.since)
+    };
+    members
+        .0
+        .iter()
+        .find(|(_, member)| member.voter && younger(member))
+        .map(|(id, _)| *id)
+}
--- a/crates/core/src/replica/mod.rs
+++ b/crates/core/src/replica/mod.rs
@@ -1,1 +1,43 @@
-//! Agreement of the control replicas on one log of commands.
+//! Agreement on one log of opaque commands: Raft with pre-vote, quorum checks, confirmed reads,
+//! snapshots, learners and single-step membership change.
+//!
+//! [`Node`] is the protocol without time: elections, heartbeats and disk completions are inputs.
+//! [`Replica`] adds the timers. Neither touches a clock, a socket or a disk; the caller carries out
+//! the [`Output`]s in their order. The protocol follows Ongaro, "Consensus: Bridging Theory and
+//! Practice" (2014).
+
+mod append;
+mod change;
+mod election;
+mod input;
+mod log;
+mod members;
+mod message;
+mod node;
+mod pacer;
+mod peer;
+mod rules;
+mod transfer;
+
+pub use input::Campaign;
+pub use input::Input;
+pub use input::Output;
+pub use input::Save;
+pub use log::Entry;
+pub use log::Log;
+pub use log::Payload;
+pub use log::Position;
+pub use log::Snapshot;
+pub use members::Member;
+pub use members::Members;
+pub use message::Append;
+pub use message::Appended;
+pub use message::Ballot;
+pub use message::Chunk;
+pub use message::Message;
+pub use message::Outcome;
+pub use node::Durable;
+pub use node::Node;
+pub use pacer::Replica;
+pub use pacer::Timing;
+pub use rules::Rules;
--- /dev/null
+++ b/crates/core/src/replica/node.rs
@@ -0,0 +1,357 @@
+//! The protocol without time.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use super::input::Campaign;
+use super::input::Input;
+use super::input::Output;
+use super::input::Save;
+use super::log::Entry;
+use super::log::Log;
+use super::log::Position;
+use super::log::Snapshot;
+use super::members::Members;
+use super::message::Message;
+use super::peer::Peer;
+use super::rules::Rules;
+use super::transfer::Incoming;
+use crate::id::ReplicaId;
+use crate::unit::Index;
+use crate::unit::Term;
+
+/// Most reads that wait for confirmation at one time.
+const READS: usize = 16_384;
+
+/// What a replica's disk holds.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub struct Durable {
+    /// Current term.
+    pub term: Term,
+    /// Who got the vote in it.
+    pub vote: Option<ReplicaId>,
+    /// The newest snapshot.
+    pub snapshot: Arc<Snapshot>,
+    /// Entries, in order; those that the snapshot contains are ignored.
+    pub entries: Vec<Entry>,
+}
+
+/// One replica's side of the protocol.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Node {
+    pub(super) id: ReplicaId,
+    pub(super) rules: Rules,
+    pub(super) term: Term,
+    pub(super) vote: Option<ReplicaId>,
+    pub(super) log: Log,
+    pub(super) commit: Index,
+    pub(super) synced: Index,
+    pub(super) role: Role,
+    pub(super) leader: Option<ReplicaId>,
+    pub(super) heard: bool,
+}
+
+/// What a replica is doing.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) enum Role {
+    /// Follows a leader, or waits for one.
+    Follower(Option<Incoming>),
+    /// Stands for election; holds who agreed.
+    Candidate(Campaign, BTreeSet<ReplicaId>),
+    /// Leads.
+    Leader(Leader),
+}
+
+/// A leader's own state.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Leader {
+    /// The other members.
+    pub peers: BTreeMap<ReplicaId, Peer>,
+    /// First entry of the own term.
+    pub first: Index,
+    /// Number of the last round of messages.
+    pub round: u64,
+    /// Reads that wait for a round to be answered by a quorum.
+    pub reads: Vec<PendingRead>,
+}
+
+/// A read that waits.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) struct PendingRead {
+    /// Number of the read.
+    pub read: u64,
+    /// What has to be applied before it is answered.
+    pub index: Index,
+    /// Round whose answers confirm it.
+    pub round: u64,
+}
+
+impl Node {
+    /// A node that starts from what its disk holds.
+    pub fn new(id: ReplicaId, durable: Durable) -> Self {
+        Self::with_rules(id, durable, Rules::default())
+    }
+
+    /// A node with a broken rule, for tests.
+    #[doc(hidden)]
+    pub fn with_rules(id: ReplicaId, durable: Durable, rules: Rules) -> Self {
+        let commit = durable.snapshot.at.index;
+        let log = Log::new(durable.snapshot, durable.entries);
+        Self {
+            id,
+            rules,
+            term: durable.term,
+            vote: durable.vote,
+            commit,
+            synced: log.last().index,
+            log,
+            role: Role::Follower(None),
+            leader: None,
+            heard: false,
+        }
+    }
+
+    /// Advances the protocol by one input.
+    pub fn step(&mut self, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Receive { from, message } => self.receive(from, message, out),
+            Input::Propose(commands) => self.propose(commands, out),
+            Input::Read(read) => self.read(read, out),
+            Input::Synced(at) => self.on_synced(at, out),
+            Input::Lapse => self.heard = false,
+            Input::Campaign(campaign) => self.campaign(campaign, out),
+            Input::Beat => self.start_round(out),
+            Input::Check => self.check(out),
+            Input::Compact { index, data, keep } => self.compact(index, data, keep, out),
+            Input::Greet { id, address } => self.greet(id, address, out),
+            Input::Found(members) => self.found(members, out),
+            Input::Resign => self.resign(out),
+        }
+    }
+
+    /// Own identity.
+    pub fn id(&self) -> ReplicaId {
+        self.id
+    }
+
+    /// Current term.
+    pub fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Who got this node's vote in the current term.
+    pub fn vote(&self) -> Option<ReplicaId> {
+        self.vote
+    }
+
+    /// Whether the node leads in its term.
+    pub fn leads(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Leader of the current term, as far as known.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        self.leader
+    }
+
+    /// Highest entry known to be committed.
+    pub fn committed(&self) -> Index {
+        self.commit
+    }
+
+    /// Highest entry known to be durable here.
+    pub fn synced(&self) -> Index {
+        self.synced
+    }
+
+    /// The log.
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// Members as of the last entry.
+    pub fn members(&self) -> &Members {
+        self.log.members()
+    }
+
+    /// Whether the node knows of no group: it holds no entry and was given no members.
+    pub fn blank(&self) -> bool {
+        self.log.last().index == Index::ZERO && self.members().0.is_empty()
+    }
+
+    fn receive(&mut self, from: ReplicaId, message: Message, out: &mut Vec<Output>) {
+        match &message {
+            Message::PreVote(ballot) => return self.on_pre_vote(from, *ballot, out),
+            Message::PreVoted {
+                ballot,
+                granted: true,
+                ..
+            } => {
+                return self.on_pre_voted(from, *ballot, out);
+            }
+            _ => {}
+        }
+        let term = message.term();
+        if term < self.term {
+            return self.rebuff(from, &message, out);
+        }
+        if term > self.term {
+            self.follow(term, out);
+        }
+        match message {
+            Message::Vote(ballot) => self.on_vote(from, ballot, out),
+            Message::Voted { granted, .. } => self.on_voted(from, granted, out),
+            Message::Append(append) => self.on_append(from, append, out),
+            Message::Appended(appended) => self.on_appended(from, appended, out),
+            Message::Chunk(chunk) => self.on_chunk(from, chunk, out),
+            Message::Chunked {
+                round, at, offset, ..
+            } => {
+                self.on_chunked(from, round, at, offset, out);
+            }
+            Message::Stand { .. } => self.on_stand(from, out),
+            Message::PreVote(_) | Message::PreVoted { .. } => {}
+        }
+    }
+
+    /// Adopts a term as a follower and drops what the former role held.
+    pub(super) fn follow(&mut self, term: Term, out: &mut Vec<Output>) {
+        if let Role::Leader(leader) = &mut self.role {
+            let reads = std::mem::take(&mut leader.reads);
+            out.extend(
+                reads
+                    .iter()
+                    .map(|pending| Output::Dropped { read: pending.read }),
+            );
+        }
+        self.role = Role::Follower(None);
+        self.leader = None;
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+            self.save_vote(out);
+        }
+    }
+
+    /// Follows the leader that sent a message of the current term.
+    pub(super) fn accept_leader(&mut self, from: ReplicaId, out: &mut Vec<Output>) {
+        if !matches!(self.role, Role::Follower(_)) || self.leader != Some(from) {
+            self.follow(self.term, out);
+        }
+        self.leader = Some(from);
+        self.heard = true;
+        out.push(Output::Rest);
+    }
+
+    pub(super) fn save_vote(&self, out: &mut Vec<Output>) {
+        out.push(Output::Save(Save::Vote {
+            term: self.term,
+            vote: self.vote,
+        }));
+    }
+
+    /// Sends once all earlier saves are durable.
+    pub(super) fn answer(&self, to: ReplicaId, message: Message, out: &mut Vec<Output>) {
+        out.push(Output::Send {
+            to,
+            message,
+            synced: !self.rules.hasty,
+        });
+    }
+
+    fn propose(&mut self, commands: Vec<Arc<[u8]>>, out: &mut Vec<Output>) {
+        use super::log::Payload;
+        if self.leads() && !commands.is_empty() {
+            let payloads = commands.into_iter().map(Payload::Command);
+            self.append_own(payloads.collect(), out);
+        }
+    }
+
+    fn read(&mut self, read: u64, out: &mut Vec<Output>) {
+        let commit = self.commit;
+        let unconfirmed = self.rules.unconfirmed;
+        let Role::Leader(leader) = &mut self.role else {
+            out.push(Output::Dropped { read });
+            return;
+        };
+        if unconfirmed {
+            out.push(Output::Confirmed {
+                read,
+                index: commit,
+            });
+            return;
+        }
+        if leader.reads.len() >= READS {
+            out.push(Output::Dropped { read });
+            return;
+        }
+        let running = leader
+            .reads
+            .iter()
+            .any(|pending| pending.round <= leader.round);
+        leader.reads.push(PendingRead {
+            read,
+            index: commit.max(leader.first),
+            round: leader.round + 1,
+        });
+        if !running {
+            self.start_round(out);
+        }
+    }
+
+    /// Answers reads whose round a quorum has answered, and starts a round for those that arrived
+    /// since.
+    pub(super) fn confirm_reads(&mut self, out: &mut Vec<Output>) {
+        let id = self.id;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if leader.reads.is_empty() {
+            return;
+        }
+        let members = self.log.members();
+        let round = |member| match leader.peers.get(&member) {
+            Some(peer) => Index(peer.round),
+            None if member == id => Index(leader.round),
+            None => Index::ZERO,
+        };
+        let confirmed = members.reached(round).0;
+        let (done, waiting): (Vec<_>, Vec<_>) = leader
+            .reads
+            .iter()
+            .partition(|pending| pending.round <= confirmed);
+        leader.reads = waiting;
+        let unstarted = leader
+            .reads
+            .iter()
+            .all(|pending| pending.round > leader.round);
+        let restart = unstarted && !leader.reads.is_empty();
+        out.extend(done.into_iter().map(|pending| Output::Confirmed {
+            read: pending.read,
+            index: pending.index,
+        }));
+        if restart {
+            self.start_round(out);
+        }
+    }
+
+    fn on_synced(&mut self, at: Position, out: &mut Vec<Output>) {
+        if self.log.holds(at) {
+            self.synced = self.synced.max(at.index);
+        }
+        self.advance_commit(out);
+    }
+
+    fn found(&mut self, members: Members, out: &mut Vec<Output>) {
+        if !self.blank() || !members.votes(self.id) {
+            return;
+        }
+        let snapshot = Arc::new(Snapshot {
+            members,
+            ..Snapshot::default()
+        });
+        self.log = Log::new(Arc::clone(&snapshot), Vec::new());
+        out.push(Output::Save(Save::Install(snapshot)));
+    }
+}
--- /dev/null
+++ b/crates/core/src/replica/transfer.rs
@@ -0,0 +1,206 @@
+//! Transfer of a snapshot to a member whose next entry the leader has dropped.
+
+use std::sync::Arc;
+
+use super::input::Output;
+use super::input::Save;
+use super::log::Position;
+use super::log::Snapshot;
+use super::message::Appended;
+use super::message::Chunk;
+use super::message::Message;
+use super::message::Outcome;
+use super::node::Node;
+use super::node::Role;
+use super::peer::Flow;
+use crate::id::ReplicaId;
+use crate::unit::Index;
+
+/// Bytes of a snapshot in one message.
+const CHUNK_BYTES: u64 = 256 << 10;
+
+/// Largest snapshot that a follower takes, in bytes.
+const SNAPSHOT_BYTES: u64 = 1 << 30;
+
+/// A snapshot being received.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Incoming {
+    at: Position,
+    data: Vec<u8>,
+}
+
+impl Node {
+    /// Takes in a snapshot of the own state.
+    pub(super) fn compact(
+        &mut self,
+        index: Index,
+        data: Arc<[u8]>,
+        keep: u64,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(term) = self.log.term(index) else {
+            return;
+        };
+        if index > self.commit || index <= self.log.snapshot().at.index {
+            return;
+        }
+        let snapshot = Arc::new(Snapshot {
+            at: Position { term, index },
+            members: self.log.members_at(index).clone(),
+            data,
+        });
+        self.log.compact(Arc::clone(&snapshot), keep);
+        out.push(Output::Save(Save::Compact(snapshot)));
+    }
+
+    pub(super) fn start_transfer(&mut self, to: ReplicaId, out: &mut Vec<Output>) {
+        let snapshot = Arc::clone(self.log.snapshot());
+        if let Role::Leader(leader) = &mut self.role
+            && let Some(peer) = leader.peers.get_mut(&to)
+        {
+            peer.flow = Flow::Transfer {
+                snapshot,
+                offset: 0,
+            };
+        }
+        self.send_chunk(to, out);
+    }
+
+    pub(super) fn send_chunk(&self, to: ReplicaId, out: &mut Vec<Output>) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let Some(peer) = leader.peers.get(&to) else {
+            return;
+        };
+        let Flow::Transfer { snapshot, offset } = &peer.flow else {
+            return;
+        };
+        let size = snapshot.data.len() as u64;
+        let end = offset.saturating_add(CHUNK_BYTES).min(size);
+        let bytes = snapshot
+            .data
+            .get(*offset as usize..end as usize)
+            .unwrap_or(&[]);
+        let message = Message::Chunk(Chunk {
+            term: self.term,
+            round: leader.round,
+            at: snapshot.at,
+            members: snapshot.members.clone(),
+            size,
+            offset: *offset,
+            bytes: bytes.into(),
+        });
+        out.push(Output::Send {
+            to,
+            message,
+            synced: false,
+        });
+    }
+
+    pub(super) fn on_chunk(&mut self, from: ReplicaId, chunk: Chunk, out: &mut Vec<Output>) {
+        if self.leads() {
+            return;
+        }
+        self.accept_leader(from, out);
+        let round = chunk.round;
+        let at = chunk.at;
+        if at.index <= self.commit {
+            return self.report_match(from, round, self.commit, out);
+        }
+        if chunk.size > SNAPSHOT_BYTES {
+            return;
+        }
+        let Role::Follower(slot) = &mut self.role else {
+            return;
+        };
+        let mut incoming = slot
+            .take()
+            .filter(|incoming| incoming.at == at)
+            .unwrap_or(Incoming {
+                at,
+                data: Vec::new(),
+            });
+        let room = chunk.size.saturating_sub(chunk.offset);
+        if chunk.offset == incoming.data.len() as u64 && chunk.bytes.len() as u64 <= room {
+            incoming.data.extend_from_slice(&chunk.bytes);
+        }
+        let offset = incoming.data.len() as u64;
+        if offset < chunk.size {
+            *slot = Some(incoming);
+            let term = self.term;
+            let message = Message::Chunked {
+                term,
+                round,
+                at,
+                offset,
+            };
+            return self.answer(from, message, out);
+        }
+        self.install(
+            Snapshot {
+                at,
+                members: chunk.members,
+                data: incoming.data.into(),
+            },
+            out,
+        );
+        self.report_match(from, round, at.index, out);
+    }
+
+    fn install(&mut self, snapshot: Snapshot, out: &mut Vec<Output>) {
+        let snapshot = Arc::new(snapshot);
+        let at = snapshot.at;
+        self.log.install(Arc::clone(&snapshot));
+        self.commit = at.index;
+        self.synced = self.synced.min(self.log.last().index).max(at.index);
+        out.push(Output::Save(Save::Install(Arc::clone(&snapshot))));
+        let rest = self.log.slice(at.index.next(), usize::MAX, usize::MAX);
+        if !rest.is_empty() {
+            out.push(Output::Save(Save::Entries(rest.to_vec())));
+        }
+        out.push(Output::Restore(snapshot));
+    }
+
+    fn report_match(&self, to: ReplicaId, round: u64, index: Index, out: &mut Vec<Output>) {
+        let message = Message::Appended(Appended {
+            term: self.term,
+            round,
+            outcome: Outcome::Matched(index),
+        });
+        self.answer(to, message, out);
+    }
+
+    pub(super) fn on_chunked(
+        &mut self,
+        from: ReplicaId,
+        round: u64,
+        at: Position,
+        offset: u64,
+        out: &mut Vec<Output>,
+    ) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(peer) = leader.peers.get_mut(&from) else {
+            return;
+        };
+        peer.active = true;
+        peer.round = peer.round.max(round.min(leader.round));
+        let moved = match &mut peer.flow {
+            Flow::Transfer {
+                snapshot,
+                offset: sent,
+            } if snapshot.at == at => {
+                let moved = *sent != offset;
+                *sent = offset.min(snapshot.data.len() as u64);
+                moved
+            }
+            _ => false,
+        };
+        self.confirm_reads(out);
+        if moved {
+            self.send_chunk(from, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/controllers/replica/founding.rs
@@ -0,0 +1,55 @@
+//! Founding a group, and the replicas' addresses.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use chestnutnotch_core::id::ReplicaId;
+use chestnutnotch_core::map::Map;
+use chestnutnotch_core::replica::Members;
+
+use crate::edges::rpc::peer::Hello;
+
+/// Answers of all peers to one round of greetings; none from a peer that did not answer.
+pub type Round = Vec<(SocketAddr, Option<Hello>)>;
+
+/// What greetings have told.
+#[derive(Debug, Default)]
+pub struct Founding {
+    book: Map<ReplicaId, SocketAddr>,
+    blanks: Option<BTreeMap<SocketAddr, ReplicaId>>,
+}
+
+impl Founding {
+    /// Address that a replica answered at, as the settings give it.
+    pub fn address(&self, id: ReplicaId) -> Option<SocketAddr> {
+        self.book.get(&id).copied()
+    }
+
+    /// Takes in a finished round; returns the members if this replica now founds the group.
+    ///
+    /// Two rounds in a row have to find the same replicas, all blank. A replica found in the first
+    /// round was there before the second one asked the others, so a group that had been founded with
+    /// a lost predecessor of it shows in the second.
+    pub fn observe(&mut self, own: ReplicaId, round: &Round) -> Option<Members> {
+        self.book.clear();
+        let answers = round
+            .iter()
+            .filter_map(|(at, hello)| Some((*at, (*hello)?)));
+        self.book.extend(answers.map(|(at, hello)| (hello.id, at)));
+        let blanks = all_blank(round);
+        let repeated = blanks.is_some() && blanks == self.blanks;
+        self.blanks = blanks;
+        let lowest = self.blanks.as_ref()?.values().min() == Some(&own);
+        let founders = round.iter().filter_map(|(_, hello)| *hello);
+        let members = Members::founders(founders.map(|hello| (hello.id, hello.address)));
+        let distinct = members.0.len() == round.len();
+        (repeated && lowest && distinct).then_some(members)
+    }
+}
+
+fn all_blank(round: &Round) -> Option<BTreeMap<SocketAddr, ReplicaId>> {
+    round
+        .iter()
+        .map(|(at, hello)| Some((*at, hello.filter(|hello| hello.blank)?.id)))
+        .collect()
+}
--- a/crates/fleet/src/edges/disk/mod.rs
+++ b/crates/fleet/src/edges/disk/mod.rs
@@ -1,1 +1,22 @@
-//! Files under the data folder: the log, snapshots and the identity of a control replica.
+//! Files under the data folder of a control replica.
+//!
+//! | file | content |
+//! |---|---|
+//! | `lock` | empty; locked while a process uses the folder |
+//! | `identity` | the replica's random identity |
+//! | `snapshot` | the newest snapshot |
+//! | `log-N` | segment N of the log: votes and entries, one frame for each sync |
+//!
+//! Every file but `lock` consists of checksummed [`frame`]s. An incomplete last frame of the last
+//! segment was never acknowledged and is cut off; any other damage is a [`DiskError`].
+
+mod error;
+mod file;
+mod folder;
+pub mod frame;
+pub mod identity;
+pub mod segment;
+pub mod snapshot;
+
+pub use error::DiskError;
+pub use folder::Folder;
--- a/crates/fleet/src/edges/rpc/mod.rs
+++ b/crates/fleet/src/edges/rpc/mod.rs
@@ -1,6 +1,7 @@
 //! RPC between the processes of the system.
 
 mod client;
+pub mod peer;
 
 pub use client::ControlClient;
 pub use client::ControlError;
