--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -13,3 +13,4 @@
 pub use document::ServiceSpec;
 pub use document::WorkspaceSpec;
 pub use error::ConfigError;
+pub use error::Kind;
