Attempt numbers on bills and conclusions, report number on grants

Without them a resent bill can't be told from a second run with equal counts, a late conclusion of an earlier try releases the running one, and a late grant raises the exposure that the ledger has already lowered.

--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -119,6 +119,8 @@
     pub budget: Budget,
     /// Whose allotment paid.
     pub holder: Holder,
+    /// Number of the attempt at that holder: tells a resent bill from a second run.
+    pub attempt: u64,
     /// Prompt tokens of the answered attempt.
     pub prompt: Tokens,
     /// Generated tokens of the answered attempt.
@@ -147,6 +149,8 @@
     pub id: RequestId,
     /// Who holds the claim.
     pub router: RouterId,
+    /// Number of the try, as in the claim.
+    pub nonce: u64,
     /// How it ended.
     pub end: CallEnd,
 }
@@ -271,6 +275,8 @@
 pub struct Grant {
     /// Which budget.
     pub budget: Budget,
+    /// Latest report of the holder that this standing takes into account.
+    pub seq: u64,
     /// Granted so far.
     pub granted: Tokens,
     /// Bound on what unfinished requests may reserve.
@@ -344,4 +350,7 @@
     /// The amount would overflow.
     #[error("the amount is out of range")]
     Range,
+    /// A bounded register has no room left.
+    #[error("no room for more entries")]
+    Full,
 }
