Signatures of the router's decisions: table, gate, retry budget, orders

Absent gains Suspect: a request that broke off at two upstreams is answered finally at once while these are asked whether they crashed. observe() keeps its bool. Bodies are simple yet; the gate is first in, first out.

--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -1,1 +1,18 @@
 //! What a router admits: bounded queues, fair shares, deadlines, the retry budget.
+
+pub mod gate;
+pub mod progress;
+pub mod retry;
+
+pub use gate::Arrival;
+pub use gate::Gate;
+pub use gate::GateRules;
+pub use gate::Release;
+pub use gate::Shed;
+pub use gate::ShedReason;
+pub use gate::Verdict;
+pub use progress::Late;
+pub use progress::Patience;
+pub use progress::Progress;
+pub use retry::RetryBudget;
+pub use retry::RetryRules;
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -1,6 +1,8 @@
 //! Upstreams as a router knows them: announcements, choice, drain, ejection, quarantine.
 
 pub mod announce;
+pub mod quarantine;
+pub mod status;
 pub mod table;
 
 pub use announce::Announcement;
@@ -8,6 +10,11 @@
 pub use announce::Load;
 pub use announce::Offer;
 pub use announce::Phase;
+pub use quarantine::Crash;
+pub use status::Pool;
+pub use status::Probe;
+pub use status::RowStatus;
+pub use status::Usage;
 pub use table::Absent;
 pub use table::Attempt;
 pub use table::Ended;
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -4,6 +4,7 @@
 
 use crate::id::DataCentre;
 use crate::id::Fingerprint;
+use crate::id::Host;
 use crate::id::Upstream;
 use crate::map::Map;
 use crate::unit::Incarnation;
@@ -13,6 +14,11 @@
 use super::announce::Kind;
 use super::announce::Offer;
 use super::announce::Phase;
+use super::quarantine::Crash;
+use super::status::Pool;
+use super::status::Probe;
+use super::status::RowStatus;
+use super::status::Usage;
 
 /// Number of one attempt at one router.
 pub type Attempt = u64;
@@ -65,6 +71,12 @@
         /// When the quarantine ends, by the router's clock.
         until: Millis,
     },
+    /// The request broke off at two upstreams, and whether they crashed is being asked.
+    #[error("the request broke off twice and its upstreams are being asked")]
+    Suspect {
+        /// When to try again, by the router's clock; the answer to the caller is final.
+        until: Millis,
+    },
 }
 
 /// How an attempt ended, as far as the upstream's standing is concerned.
@@ -158,12 +170,88 @@
         }
     }
 
+    /// The answer to asking an upstream directly; `None` if it did not answer.
+    pub fn asked(
+        &mut self,
+        now: Millis,
+        _upstream: &Upstream,
+        _incarnation: Incarnation,
+        said: Option<Announcement>,
+    ) {
+        if let Some(said) = said {
+            self.observe(now, said);
+        }
+    }
+
+    /// Takes in evidence that a request crashed an upstream. Returns whether it has to be spread.
+    pub fn crash(
+        &mut self,
+        _now: Millis,
+        _body: Fingerprint,
+        _upstream: &Upstream,
+        _incarnation: Incarnation,
+    ) -> bool {
+        false
+    }
+
+    /// Moves the crash evidence that this router found by itself since the last call to `out`.
+    pub fn crashes(&mut self, _out: &mut Vec<Crash>) {}
+
+    /// Upstreams to ask now: their answers go to [`Table::asked`].
+    pub fn probes(&mut self, _now: Millis) -> Vec<Probe> {
+        Vec::new()
+    }
+
+    /// Lets time pass: drops what has expired. Due about every second.
+    pub fn tick(&mut self, _now: Millis) {}
+
+    /// State of each known upstream, for `status` and metrics.
+    pub fn rows(&self, _now: Millis) -> impl Iterator<Item = RowStatus> {
+        self.rows.values().map(|row| RowStatus {
+            upstream: row.said.upstream.clone(),
+            incarnation: row.said.incarnation,
+            centre: row.said.centre.clone(),
+            usage: Usage::Used,
+            flying: row.flying,
+            load: row.said.load,
+            slots: row.said.slots,
+        })
+    }
+
+    /// How many requests this router may run at once, by the kinds that share upstreams.
+    ///
+    /// `routers` is the number of routers that send work to the same upstreams.
+    pub fn pools(&self, _now: Millis, _routers: u32) -> Vec<Pool> {
+        self.rows
+            .values()
+            .map(|row| Pool {
+                kinds: kinds(&row.said.offer),
+                slots: row.said.slots,
+            })
+            .collect()
+    }
+
+    /// Announcements that changed after `cursor` and that `peer` keeps in full, and the next cursor.
+    pub fn announcements_for(&self, _peer: &Host, _cursor: u64) -> (u64, Vec<&Announcement>) {
+        (0, self.announcements().collect())
+    }
+
     /// Announcements that another router should hear: the newest of each upstream.
     pub fn announcements(&self) -> impl Iterator<Item = &Announcement> {
         self.rows.values().map(|row| &row.said)
     }
 }
 
+fn kinds(offer: &Offer) -> Vec<Kind> {
+    match offer {
+        Offer::Models(all) => all
+            .iter()
+            .map(|one| Kind::Model(one.model.clone(), one.adapter.clone()))
+            .collect(),
+        Offer::Service(one) => vec![Kind::Service(one.clone())],
+    }
+}
+
 fn offers(offer: &Offer, kind: &Kind) -> bool {
     match (offer, kind) {
         (Offer::Models(all), Kind::Model(model, adapter)) => all
