Deepen the table of upstreams and the gate

Table: total order of announcements, proof before first use, probes, ejection with a cap and trials, capped prefix affinity, crash evidence with questions, rendezvous keepers, pools. Gate: two-level start-time fair queue, foresight from the measured pace, displacement from the longest flow when full.

--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -1,6 +1,8 @@
 //! What a router admits: bounded queues, fair shares, deadlines, the retry budget.
 
+pub mod fair;
 pub mod gate;
+pub mod pace;
 pub mod progress;
 pub mod retry;
 
--- /dev/null
+++ b/crates/core/src/upstream/choice.rs
@@ -0,0 +1,91 @@
+//! Choice among the usable upstreams.
+//!
+//! A few are drawn at random and the best of them is taken, so that routers that see the same
+//! lagging reports do not all turn to the same upstream. The one with most of the prompt cached
+//! joins the draw; its advantage is bounded, so load outweighs it.
+
+use rand::Rng;
+
+use crate::id::DataCentre;
+use crate::unit::Millis;
+
+use super::row::Row;
+use super::rules::Rules;
+use super::table::Wanted;
+
+/// What a choice is made from.
+pub(super) struct View<'a> {
+    pub now: Millis,
+    pub rules: &'a Rules,
+    pub centre: &'a DataCentre,
+    pub wanted: &'a Wanted,
+    /// Whether an earlier crash marks the request.
+    pub marked: bool,
+}
+
+impl View<'_> {
+    /// Index of the chosen row, if there is any.
+    pub fn choose(&self, rows: &[&Row], rng: &mut impl Rng) -> Option<usize> {
+        let drawn = self.draw(rows.len(), rng);
+        let cached = self.cached(rows);
+        drawn
+            .into_iter()
+            .chain(cached)
+            .min_by_key(|&index| self.cost(rows[index]))
+    }
+
+    /// Distinct random indices below `count`.
+    fn draw(&self, count: usize, rng: &mut impl Rng) -> Vec<usize> {
+        if count <= self.rules.sample {
+            return (0..count).collect();
+        }
+        let mut drawn = Vec::with_capacity(self.rules.sample);
+        while drawn.len() < self.rules.sample {
+            let index = below(rng, count);
+            if !drawn.contains(&index) {
+                drawn.push(index);
+            }
+        }
+        drawn
+    }
+
+    fn cached(&self, rows: &[&Row]) -> Option<usize> {
+        if self.rules.affinity == 0 || self.wanted.prefixes.is_empty() {
+            return None;
+        }
+        (0..rows.len())
+            .map(|index| (self.share(rows[index]), index))
+            .filter(|(share, _)| *share > 0)
+            .max_by_key(|&(share, index)| (share, -self.cost(rows[index])))
+            .map(|(_, index)| index)
+    }
+
+    fn share(&self, row: &Row) -> u32 {
+        row.prefixes
+            .share(self.now, &self.wanted.prefixes, self.rules)
+    }
+
+    /// Cost of running the request there, in thousandths of a full upstream.
+    fn cost(&self, row: &Row) -> i64 {
+        let slots = i64::from(row.said.slots.max(1));
+        let load = i64::from(row.taken(self.rules)) * 1_000 / slots;
+        let gain = i64::from(self.share(row)) * i64::from(self.rules.affinity) / 1_000;
+        let way = match row.said.centre == *self.centre {
+            true => 0,
+            false => i64::from(self.rules.remote),
+        };
+        // Two marked requests on one upstream would leave open which of them crashed it.
+        let shared = match self.marked && row.marked > 0 {
+            true => SHARED_MARK,
+            false => 0,
+        };
+        load - gain + way + shared
+    }
+}
+
+const SHARED_MARK: i64 = 1_000;
+
+fn below(rng: &mut impl Rng, count: usize) -> usize {
+    let wide = u128::from(rng.next_u64()) * count as u128;
+    (wide >> 64) as usize
+}
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -1,7 +1,15 @@
 //! Upstreams as a router knows them: announcements, choice, drain, ejection, quarantine.
 
 pub mod announce;
+pub mod breaker;
+mod choice;
+mod pool;
+pub mod prefix;
 pub mod quarantine;
+mod row;
+pub mod rules;
+pub mod spread;
+pub mod standing;
 pub mod status;
 pub mod table;
 
@@ -11,6 +19,10 @@
 pub use announce::Offer;
 pub use announce::Phase;
 pub use quarantine::Crash;
+pub use rules::Order;
+pub use rules::Rules;
+pub use spread::Keepers;
+pub use standing::Standing;
 pub use status::Pool;
 pub use status::Probe;
 pub use status::RowStatus;
--- /dev/null
+++ b/crates/core/src/upstream/rules.rs
@@ -0,0 +1,86 @@
+//! Settings of a router's [`Table`](super::Table).
+
+use crate::unit::Millis;
+
+/// Settings of a [`Table`](super::Table). Spans are in milliseconds, weights in thousandths of a
+/// full upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Rules {
+    /// An upstream that was not heard of for so long is asked before use.
+    pub stale: Millis,
+    /// An upstream that was not heard of for so long is forgotten.
+    pub forget: Millis,
+    /// Most upstreams known at once.
+    pub rows: usize,
+    /// How many usable upstreams are drawn at random for a choice.
+    pub sample: usize,
+    /// Whether own attempts are added to the reported load.
+    pub own: bool,
+    /// Weight of a wholly cached prompt.
+    pub affinity: u32,
+    /// Prefixes remembered for an upstream.
+    pub prefixes: usize,
+    /// How long a prefix counts as cached without a new sign of it.
+    pub cached: Millis,
+    /// How late an upstream's cache events are at most.
+    pub lag: Millis,
+    /// Weight of a way to another data centre.
+    pub remote: u32,
+    /// Connection faults, less half of the successes, that eject an upstream.
+    pub faults: u32,
+    /// How long the first ejection lasts; each further one twice as long.
+    pub ejection: Millis,
+    /// Largest part of the upstreams of one kind that ejection takes out, in thousandths.
+    pub ejected: u32,
+    /// How long an upstream that refused for overload counts as full.
+    pub pause: Millis,
+    /// How long crash evidence counts.
+    pub quarantine: Millis,
+    /// How long the caller of a suspect request is told to wait.
+    pub settle: Millis,
+    /// Up to so many upstreams, every router keeps all of them in full.
+    pub full: usize,
+    /// Above that, how many routers keep each upstream in full.
+    pub copies: usize,
+    /// How announcements are ordered.
+    pub order: Order,
+}
+
+/// How announcements of one upstream are ordered.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Order {
+    /// By incarnation, then leaving after ready, then sequence.
+    Total,
+    /// By sequence alone; only for tests that show what the rest is for.
+    Sequence,
+    /// By incarnation and sequence; only for tests that show what the rest is for.
+    Reopening,
+    /// The last one heard; only for tests that show what the rest is for.
+    Arrival,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            stale: Millis(3_000),
+            forget: Millis(600_000),
+            rows: 8_192,
+            sample: 2,
+            own: true,
+            affinity: 250,
+            prefixes: 512,
+            cached: Millis(60_000),
+            lag: Millis(2_000),
+            remote: 20,
+            faults: 3,
+            ejection: Millis(1_000),
+            ejected: 500,
+            pause: Millis(250),
+            quarantine: Millis(600_000),
+            settle: Millis(1_000),
+            full: 64,
+            copies: 3,
+            order: Order::Total,
+        }
+    }
+}
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 use crate::id::DataCentre;
 use crate::id::Fingerprint;
 use crate::id::Host;
@@ -12,9 +15,15 @@
 
 use super::announce::Announcement;
 use super::announce::Kind;
-use super::announce::Offer;
 use super::announce::Phase;
+use super::choice::View;
+use super::pool;
 use super::quarantine::Crash;
+use super::quarantine::Quarantine;
+use super::quarantine::Suspicion;
+use super::row::Row;
+use super::rules::Rules;
+use super::spread::Keepers;
 use super::status::Pool;
 use super::status::Probe;
 use super::status::RowStatus;
@@ -97,41 +106,105 @@
 }
 
 /// The upstreams that one router knows.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Table {
-    _centre: Option<DataCentre>,
+    centre: DataCentre,
+    rules: Rules,
+    rng: ChaCha8Rng,
     rows: Map<Upstream, Row>,
-    flying: Map<Attempt, Upstream>,
+    flights: Map<Attempt, Flight>,
     last: Attempt,
+    quarantine: Quarantine,
+    keepers: Keepers,
+    change: u64,
 }
 
-#[derive(Debug)]
-struct Row {
-    said: Announcement,
-    flying: u32,
+#[derive(Clone, Debug)]
+struct Flight {
+    upstream: Upstream,
+    incarnation: Incarnation,
+    body: Fingerprint,
+    marked: bool,
+}
+
+const MOST_PROBES: usize = 32;
+const MOST_EVENTS: usize = 256;
+
+impl Default for Table {
+    fn default() -> Self {
+        Self::new(DataCentre::from(""))
+    }
 }
 
 impl Table {
     /// An empty table of a router in a data centre.
     pub fn new(centre: DataCentre) -> Self {
+        Self::with(centre, Rules::default(), 0)
+    }
+
+    /// An empty table with settings and a seed. Routers need different seeds.
+    pub fn with(centre: DataCentre, rules: Rules, seed: u64) -> Self {
         Self {
-            _centre: Some(centre),
-            ..Self::default()
+            centre,
+            rules,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            rows: Map::default(),
+            flights: Map::default(),
+            last: 0,
+            quarantine: Quarantine::default(),
+            keepers: Keepers::default(),
+            change: 0,
         }
     }
 
+    /// Names the routers of this data centre, this one included.
+    pub fn peers(&mut self, hosts: impl IntoIterator<Item = Host>) {
+        self.keepers = Keepers::new(hosts);
+    }
+
     /// Takes in an announcement. Returns whether it was news, and so has to be spread.
-    pub fn observe(&mut self, _now: Millis, said: Announcement) -> bool {
-        let Some(row) = self.rows.get_mut(&said.upstream) else {
-            let row = Row { flying: 0, said };
-            self.rows.insert(row.said.upstream.clone(), row);
-            return true;
-        };
-        let newer = (said.incarnation, said.seq) > (row.said.incarnation, row.said.seq);
-        if newer {
-            row.said = said;
+    pub fn observe(&mut self, now: Millis, mut said: Announcement) -> bool {
+        said.cached.truncate(MOST_EVENTS);
+        said.evicted.truncate(MOST_EVENTS);
+        let upstream = said.upstream.clone();
+        let incarnation = said.incarnation;
+        let known = self.rows.get(&upstream).map(|row| row.said.incarnation);
+        if !self.store(now, said) {
+            return false;
+        }
+        self.change += 1;
+        if let Some(row) = self.rows.get_mut(&upstream) {
+            row.change = self.change;
         }
-        newer
+        if known != Some(incarnation)
+            && let Some(last) = incarnation.0.checked_sub(1)
+        {
+            self.quarantine.died(&upstream, Incarnation(last));
+        }
+        true
+    }
+
+    fn store(&mut self, now: Millis, said: Announcement) -> bool {
+        if let Some(row) = self.rows.get_mut(&said.upstream) {
+            return row.observe(now, said, &self.rules);
+        }
+        if self.rows.len() >= self.rules.rows && !self.evict(now) {
+            return false;
+        }
+        let row = Row::new(now, said, &self.rules);
+        self.rows.insert(row.said.upstream.clone(), row);
+        true
+    }
+
+    /// Drops the row that was not heard of for longest, if it is stale.
+    fn evict(&mut self, now: Millis) -> bool {
+        let oldest = self
+            .rows
+            .values()
+            .filter(|row| row.stale(now, &self.rules) && row.flying == 0)
+            .min_by_key(|row| (row.heard, &row.said.upstream))
+            .map(|row| row.said.upstream.clone());
+        oldest.is_some_and(|upstream| self.rows.remove(&upstream).is_some())
     }
 
     /// Chooses an upstream and counts the attempt.
@@ -139,79 +212,217 @@
     /// # Errors
     ///
     /// Says why there is none.
-    pub fn choose(&mut self, _now: Millis, wanted: &Wanted) -> Result<Pick, Absent> {
-        let row = self
-            .rows
-            .values_mut()
-            .filter(|row| offers(&row.said.offer, &wanted.kind))
-            .filter(|row| row.said.phase == Phase::Ready)
-            .filter(|row| !wanted.avoid.contains(&row.said.upstream))
-            .min_by_key(|row| row.flying + row.said.load.waiting)
-            .ok_or(Absent::NoneKnown)?;
+    pub fn choose(&mut self, now: Millis, wanted: &Wanted) -> Result<Pick, Absent> {
+        let marked = self.admit(now, &wanted.body)?;
+        let view = View {
+            now,
+            rules: &self.rules,
+            centre: &self.centre,
+            wanted,
+            marked,
+        };
+        let (rows, ask) = usable(&self.rows, &view)?;
+        let index = view
+            .choose(&rows, &mut self.rng)
+            .ok_or(Absent::NoneUsable)?;
+        let upstream = rows[index].said.upstream.clone();
+        self.take(now, upstream, wanted, marked, ask)
+            .ok_or(Absent::NoneUsable)
+    }
+
+    /// Whether the request is marked by an earlier crash.
+    fn admit(&self, now: Millis, body: &Fingerprint) -> Result<bool, Absent> {
+        match self.quarantine.suspicion(body, self.rules.quarantine) {
+            Suspicion::Clear => Ok(false),
+            Suspicion::Marked => Ok(true),
+            Suspicion::Suspect => Err(Absent::Suspect {
+                until: now + self.rules.settle,
+            }),
+            Suspicion::Guilty { until } => Err(Absent::Quarantined { until }),
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: Millis,
+        upstream: Upstream,
+        wanted: &Wanted,
+        marked: bool,
+        ask: bool,
+    ) -> Option<Pick> {
+        let row = self.rows.get_mut(&upstream)?;
         row.flying += 1;
+        row.marked += u32::from(marked);
+        row.prefixes.routed(now, &wanted.prefixes, &self.rules);
+        if ask {
+            row.ask(now);
+        }
         self.last += 1;
-        self.flying.insert(self.last, row.said.upstream.clone());
-        Ok(Pick {
+        let flight = Flight {
+            upstream: upstream.clone(),
+            incarnation: row.said.incarnation,
+            body: wanted.body,
+            marked,
+        };
+        self.flights.insert(self.last, flight);
+        Some(Pick {
             attempt: self.last,
-            upstream: row.said.upstream.clone(),
+            upstream,
             incarnation: row.said.incarnation,
             address: row.said.address,
-            ask: false,
+            ask,
         })
     }
 
     /// Counts the end of an attempt.
-    pub fn end(&mut self, _now: Millis, attempt: Attempt, _ended: Ended) {
-        let Some(upstream) = self.flying.remove(&attempt) else {
+    pub fn end(&mut self, now: Millis, attempt: Attempt, ended: Ended) {
+        let Some(flight) = self.flights.remove(&attempt) else {
             return;
         };
-        if let Some(row) = self.rows.get_mut(&upstream) {
-            row.flying = row.flying.saturating_sub(1);
+        self.judge(now, &flight, ended);
+        let Some(row) = self.rows.get_mut(&flight.upstream) else {
+            return;
+        };
+        if row.said.incarnation != flight.incarnation {
+            return;
+        }
+        row.flying = row.flying.saturating_sub(1);
+        row.marked = row.marked.saturating_sub(u32::from(flight.marked));
+        match ended {
+            Ended::Whole => row.breaker.success(now),
+            Ended::Overload => row.breaker.overload(now, &self.rules),
+            Ended::Unreachable | Ended::Broken | Ended::Late => {
+                row.doubt = true;
+                row.breaker.fault(now, &self.rules);
+            }
+            Ended::Neutral => {}
+        }
+    }
+
+    /// What the end of an attempt says of its request.
+    fn judge(&mut self, now: Millis, flight: &Flight, ended: Ended) {
+        let crash = Crash {
+            body: flight.body,
+            upstream: flight.upstream.clone(),
+            incarnation: flight.incarnation,
+        };
+        match ended {
+            Ended::Whole => self.quarantine.acquit(&flight.body),
+            Ended::Broken => {
+                self.quarantine.broke(now, crash);
+                if self.replaced(&flight.upstream, flight.incarnation) {
+                    self.quarantine.died(&flight.upstream, flight.incarnation);
+                }
+            }
+            Ended::Unreachable => self.quarantine.died(&flight.upstream, flight.incarnation),
+            Ended::Overload | Ended::Late | Ended::Neutral => {}
         }
     }
 
+    fn replaced(&self, upstream: &Upstream, incarnation: Incarnation) -> bool {
+        self.rows
+            .get(upstream)
+            .is_some_and(|row| row.said.incarnation > incarnation)
+    }
+
     /// The answer to asking an upstream directly; `None` if it did not answer.
     pub fn asked(
         &mut self,
         now: Millis,
-        _upstream: &Upstream,
-        _incarnation: Incarnation,
+        upstream: &Upstream,
+        incarnation: Incarnation,
         said: Option<Announcement>,
     ) {
+        let sent = self.rows.get_mut(upstream).and_then(|row| row.asked.take());
+        // Another upstream may have taken over the address.
+        let own = said.as_ref().filter(|said| said.upstream == *upstream);
+        let found = own.map(|said| said.incarnation);
         if let Some(said) = said {
             self.observe(now, said);
         }
+        let Some(found) = found else {
+            self.silent(upstream, incarnation);
+            return;
+        };
+        if let Some(row) = self.rows.get_mut(upstream)
+            && row.said.incarnation == found
+        {
+            row.answered(now);
+        }
+        if let Some(sent) = sent {
+            self.quarantine.alive(upstream, found, sent);
+        }
+    }
+
+    fn silent(&mut self, upstream: &Upstream, incarnation: Incarnation) {
+        if let Some(row) = self.rows.get_mut(upstream)
+            && row.said.incarnation == incarnation
+        {
+            row.silent = true;
+            row.doubt = false;
+        }
+        self.quarantine.died(upstream, incarnation);
     }
 
     /// Takes in evidence that a request crashed an upstream. Returns whether it has to be spread.
     pub fn crash(
         &mut self,
-        _now: Millis,
-        _body: Fingerprint,
-        _upstream: &Upstream,
-        _incarnation: Incarnation,
+        now: Millis,
+        body: Fingerprint,
+        upstream: &Upstream,
+        incarnation: Incarnation,
     ) -> bool {
-        false
+        let crash = Crash {
+            body,
+            upstream: upstream.clone(),
+            incarnation,
+        };
+        let news = self.quarantine.crashed(now, crash);
+        if let Some(row) = self.rows.get_mut(upstream) {
+            // An answer of the same incarnation would refute the evidence.
+            row.doubt |= news && row.said.incarnation == incarnation;
+        }
+        news
     }
 
     /// Moves the crash evidence that this router found by itself since the last call to `out`.
-    pub fn crashes(&mut self, _out: &mut Vec<Crash>) {}
+    pub fn crashes(&mut self, out: &mut Vec<Crash>) {
+        self.quarantine.drain(out);
+    }
 
     /// Upstreams to ask now: their answers go to [`Table::asked`].
-    pub fn probes(&mut self, _now: Millis) -> Vec<Probe> {
-        Vec::new()
+    pub fn probes(&mut self, now: Millis) -> Vec<Probe> {
+        let rules = &self.rules;
+        self.rows
+            .values_mut()
+            .filter(|row| row.due(now, rules))
+            .take(MOST_PROBES)
+            .map(|row| {
+                row.ask(now);
+                Probe {
+                    upstream: row.said.upstream.clone(),
+                    incarnation: row.said.incarnation,
+                    address: row.said.address,
+                }
+            })
+            .collect()
     }
 
     /// Lets time pass: drops what has expired. Due about every second.
-    pub fn tick(&mut self, _now: Millis) {}
+    pub fn tick(&mut self, now: Millis) {
+        let forget = self.rules.forget;
+        self.rows
+            .retain(|_, row| now < row.heard + forget || row.flying > 0);
+        self.quarantine.expire(now, self.rules.quarantine);
+    }
 
     /// State of each known upstream, for `status` and metrics.
-    pub fn rows(&self, _now: Millis) -> impl Iterator<Item = RowStatus> {
-        self.rows.values().map(|row| RowStatus {
+    pub fn rows(&self, now: Millis) -> impl Iterator<Item = RowStatus> {
+        self.rows.values().map(move |row| RowStatus {
             upstream: row.said.upstream.clone(),
             incarnation: row.said.incarnation,
             centre: row.said.centre.clone(),
-            usage: Usage::Used,
+            usage: row.usage(now, &self.rules),
             flying: row.flying,
             load: row.said.load,
             slots: row.said.slots,
@@ -221,19 +432,28 @@
     /// How many requests this router may run at once, by the kinds that share upstreams.
     ///
     /// `routers` is the number of routers that send work to the same upstreams.
-    pub fn pools(&self, _now: Millis, _routers: u32) -> Vec<Pool> {
-        self.rows
-            .values()
-            .map(|row| Pool {
-                kinds: kinds(&row.said.offer),
-                slots: row.said.slots,
-            })
-            .collect()
+    pub fn pools(&self, now: Millis, routers: u32) -> Vec<Pool> {
+        pool::pools(self.rows.values(), now, &self.rules, routers)
     }
 
     /// Announcements that changed after `cursor` and that `peer` keeps in full, and the next cursor.
-    pub fn announcements_for(&self, _peer: &Host, _cursor: u64) -> (u64, Vec<&Announcement>) {
-        (0, self.announcements().collect())
+    ///
+    /// A leave goes to every peer.
+    pub fn announcements_for(&self, peer: &Host, cursor: u64) -> (u64, Vec<&Announcement>) {
+        let all = self.rows.len() <= self.rules.full;
+        let news = self
+            .rows
+            .values()
+            .filter(|row| row.change > cursor)
+            .filter(|row| {
+                all || row.said.phase == Phase::Leaving
+                    || self
+                        .keepers
+                        .keeps(peer, &row.said.upstream, self.rules.copies)
+            })
+            .map(|row| &row.said)
+            .collect();
+        (self.change, news)
     }
 
     /// Announcements that another router should hear: the newest of each upstream.
@@ -242,22 +462,72 @@
     }
 }
 
-fn kinds(offer: &Offer) -> Vec<Kind> {
-    match offer {
-        Offer::Models(all) => all
-            .iter()
-            .map(|one| Kind::Model(one.model.clone(), one.adapter.clone()))
-            .collect(),
-        Offer::Service(one) => vec![Kind::Service(one.clone())],
+/// Rows that may take the request now, and whether they have to be asked first.
+fn usable<'a>(
+    rows: &'a Map<Upstream, Row>,
+    view: &View<'_>,
+) -> Result<(Vec<&'a Row>, bool), Absent> {
+    let mut sorted = Sorted::default();
+    for row in rows.values().filter(|row| row.offers(&view.wanted.kind)) {
+        sorted.add(row, view);
     }
+    sorted.cap(view.rules);
+    sorted.best()
 }
 
-fn offers(offer: &Offer, kind: &Kind) -> bool {
-    match (offer, kind) {
-        (Offer::Models(all), Kind::Model(model, adapter)) => all
-            .iter()
-            .any(|one| one.model == *model && one.adapter == *adapter),
-        (Offer::Service(one), Kind::Service(service)) => one == service,
-        _ => false,
+/// Rows of one kind by their usage.
+#[derive(Default)]
+struct Sorted<'a> {
+    fresh: Vec<&'a Row>,
+    stale: Vec<&'a Row>,
+    ejected: Vec<(Millis, &'a Row)>,
+    known: usize,
+    full: bool,
+}
+
+impl<'a> Sorted<'a> {
+    fn add(&mut self, row: &'a Row, view: &View<'_>) {
+        self.known += 1;
+        if view.wanted.avoid.contains(&row.said.upstream) {
+            return;
+        }
+        let full = row.full(view.now, view.rules);
+        match row.usage(view.now, view.rules) {
+            Usage::Leaving | Usage::Silent => {}
+            Usage::Full => self.full = true,
+            _ if full => self.full = true,
+            Usage::Used => self.fresh.push(row),
+            Usage::Stale => self.stale.push(row),
+            Usage::Ejected { until } => self.ejected.push((until, row)),
+        }
+    }
+
+    /// Ejected rows above the cap count as stale: a router whose every upstream fails is likely cut
+    /// off itself, and asking tells.
+    fn cap(&mut self, rules: &Rules) {
+        let most = self.known * rules.ejected as usize / 1_000;
+        self.ejected
+            .sort_by_key(|(until, row)| (*until, row.change));
+        while self.ejected.len() > most {
+            let (_, row) = self.ejected.remove(0);
+            self.stale.push(row);
+        }
+    }
+
+    /// Fresh rows come first; without one, stale rows are asked.
+    fn best(self) -> Result<(Vec<&'a Row>, bool), Absent> {
+        if self.known == 0 {
+            return Err(Absent::NoneKnown);
+        }
+        if !self.fresh.is_empty() {
+            return Ok((self.fresh, false));
+        }
+        if !self.stale.is_empty() {
+            return Ok((self.stale, true));
+        }
+        match self.full {
+            true => Err(Absent::Full),
+            false => Err(Absent::NoneUsable),
+        }
     }
 }
