Replicated state: ledger, bills, claims, configuration, leases, audit trail

A holder's report carries its exposure, a bound on what unfinished attempts reserve: after a crash all but the exposure is free once every control replica has sealed the holder's bills, and no clock is needed for it. Bills carry attempt numbers, so that a second run counts as waste and a resend does not; a conclusion names its try, so that a late one releases nothing else.

--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -336,6 +336,9 @@
     /// The holder has left, was retired or was replaced.
     #[error("{0} is closed")]
     Closed(Holder),
+    /// The holder is still open: nothing of it can be resolved.
+    #[error("{0} is still open")]
+    Open(Holder),
     /// The router holds no such claim.
     #[error("no claim held for this call")]
     NoClaim,
--- a/crates/core/src/ledger/mod.rs
+++ b/crates/core/src/ledger/mod.rs
@@ -4,9 +4,16 @@
 //! its own allotment and needs nobody's leave for it, in a partition neither.
 
 mod account;
+mod bills;
+mod book;
+mod policy;
 mod purse;
+mod row;
 
-pub use account::Ledger;
+pub use bills::BILL_HORIZON_MILLIS;
+pub use bills::MAX_BILLS;
+pub use book::Balance;
+pub use book::Ledger;
 pub use purse::Purse;
 pub use purse::Reservation;
 pub use purse::Short;
--- a/crates/core/src/ledger/purse.rs
+++ b/crates/core/src/ledger/purse.rs
@@ -1,16 +1,21 @@
 //! A holder's own allotments and the reservations taken from them.
+//!
+//! Times are of the holder's own monotonic clock; they decide when to report, never what may be
+//! spent.
 
 use crate::command::Draw;
 use crate::command::DrawRow;
 use crate::command::Grant;
 use crate::id::Budget;
 use crate::id::Holder;
+use crate::ledger::row::Row;
+use crate::machine::Fault;
 use crate::map::Map;
 use crate::unit::Millis;
 use crate::unit::Tokens;
 
 /// Tokens set aside for one attempt. Has to be given back by one of the purse's methods.
-#[derive(Debug, Eq, PartialEq)]
+#[derive(Debug, Eq, Hash, PartialEq)]
 pub struct Reservation {
     budget: Budget,
     amount: Tokens,
@@ -31,33 +36,25 @@
 /// Why a reservation was not possible now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Short {
-    /// The allotment is too small; more has been asked for with the next [`Purse::draw`].
+    /// The allotment is too small; more is asked for with the next [`Purse::draw`], so that waiting
+    /// may help.
     #[error("the allotment is too small by {0} tokens")]
     Allotment(Tokens),
-    /// The budget as a whole can't pay, as far as the ledger last said.
+    /// The budget as a whole can't pay, as the ledger said a moment ago.
     #[error("the budget is spent")]
     Spent,
 }
 
 /// All allotments of one holder.
-#[derive(Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Purse {
     holder: Holder,
     seq: u64,
     rows: Map<Budget, Row>,
+    left: bool,
+    fault: Option<Fault>,
 }
 
-#[derive(Debug, Default)]
-struct Row {
-    granted: Tokens,
-    billed: Tokens,
-    wasted: Tokens,
-    reserved: Tokens,
-    need: Tokens,
-}
-
-const STEP: Tokens = Tokens(20_000);
-
 impl Purse {
     /// An empty purse.
     pub fn new(holder: Holder) -> Self {
@@ -65,6 +62,16 @@
             holder,
             seq: 0,
             rows: Map::default(),
+            left: false,
+            fault: None,
+        }
+    }
+
+    /// A purse that breaks a rule, for checks that have to fail.
+    pub fn with_fault(holder: Holder, fault: Fault) -> Self {
+        Self {
+            fault: Some(fault),
+            ..Self::new(holder)
         }
     }
 
@@ -73,24 +80,43 @@
         &self.holder
     }
 
+    /// Tokens of a budget that are neither spent nor reserved.
+    pub fn free(&self, budget: &Budget) -> Tokens {
+        self.rows.get(budget).map_or(Tokens::ZERO, Row::free)
+    }
+
+    /// Tokens of a budget that unfinished attempts reserve.
+    pub fn reserved(&self, budget: &Budget) -> Tokens {
+        self.rows
+            .get(budget)
+            .map_or(Tokens::ZERO, |row| row.reserved)
+    }
+
+    /// When a caller that was refused may try again: a span.
+    pub fn retry_after(&self, short: Short) -> Millis {
+        match short {
+            Short::Allotment(_) => RETRY_SHORT_MILLIS,
+            Short::Spent => RETRY_SPENT_MILLIS,
+        }
+    }
+
     /// Sets the worst case of an attempt aside.
     ///
     /// # Errors
     ///
-    /// [`Short`] if the allotment does not cover it; then the need is remembered for the next draw.
+    /// [`Short`] if the allotment or the granted exposure does not cover it; then the need is
+    /// remembered for the next draw.
     pub fn reserve(
         &mut self,
-        _now: Millis,
+        now: Millis,
         budget: &Budget,
         worst: Tokens,
     ) -> Result<Reservation, Short> {
-        let row = self.rows.entry(budget.clone()).or_default();
-        let free = row.free();
-        if free < worst {
-            row.need = worst;
-            return Err(Short::Allotment(worst.saturating_sub(free)));
+        if self.left {
+            return Err(Short::Allotment(worst));
         }
-        row.reserved += worst;
+        let row = self.rows.entry(budget.clone()).or_default();
+        row.reserve(now, worst)?;
         Ok(Reservation {
             budget: budget.clone(),
             amount: worst,
@@ -98,13 +124,13 @@
     }
 
     /// Ends a reservation whose bill is safe: `used` was billed, `wasted` was produced besides.
+    ///
+    /// The bill is safe once a control replica has it on disk. A reply that the bill was merged
+    /// changes nothing here: the ledger counts its tokens as wasted.
     pub fn settle(&mut self, held: Reservation, used: Tokens, wasted: Tokens) {
-        let Some(row) = self.rows.get_mut(&held.budget) else {
-            return;
-        };
-        row.reserved = row.reserved.saturating_sub(held.amount);
-        row.billed += used;
-        row.wasted += wasted;
+        if let Some(row) = self.rows.get_mut(&held.budget) {
+            row.settle(held.amount, used, wasted);
+        }
     }
 
     /// Ends a reservation of an attempt that provably produced `wasted` tokens and is not billed.
@@ -112,74 +138,60 @@
         self.settle(held, Tokens::ZERO, wasted);
     }
 
-    /// The report to send to the ledger, if one is due.
-    pub fn draw(&mut self, _now: Millis) -> Option<Draw> {
-        let rows: Vec<DrawRow> = self
+    /// The report to send to the ledger, if one is due. Cheap; to be asked a few times a second and
+    /// after each [`Short`].
+    pub fn draw(&mut self, now: Millis) -> Option<Draw> {
+        if self.left {
+            return None;
+        }
+        let seq = self.seq + 1;
+        let mut rows: Vec<DrawRow> = self
             .rows
-            .iter()
-            .filter_map(|(budget, row)| row.ask(budget))
+            .iter_mut()
+            .filter_map(|(budget, row)| row.ask(now, seq, budget))
             .collect();
         if rows.is_empty() {
             return None;
         }
-        self.seq += 1;
+        rows.sort_by(|a, b| a.budget.cmp(&b.budget));
+        self.seq = seq;
         Some(Draw {
             holder: self.holder.clone(),
-            seq: self.seq,
+            seq,
             rows,
         })
     }
 
     /// Takes in the ledger's answer.
-    pub fn grant(&mut self, _now: Millis, grants: impl IntoIterator<Item = Grant>) {
+    pub fn grant(&mut self, now: Millis, grants: impl IntoIterator<Item = Grant>) {
+        if self.left {
+            return;
+        }
         for grant in grants {
-            let row = self.rows.entry(grant.budget).or_default();
-            row.granted = row.granted.max(grant.granted);
+            let row = self.rows.entry(grant.budget.clone()).or_default();
+            row.take(now, &grant, self.fault);
         }
+        self.rows.retain(|_, row| !row.is_blank(now));
     }
 
-    /// The last report of a holder that stops: returns all that is not spent.
+    /// The last report of a holder that stops: returns all that is neither spent nor reserved. The
+    /// purse reserves nothing after it.
     pub fn leave(&mut self) -> Draw {
+        self.left = true;
         self.seq += 1;
-        let holder = self.holder.clone();
-        let rows = self
+        let mut rows: Vec<DrawRow> = self
             .rows
-            .iter()
-            .map(|(budget, row)| row.report(budget))
+            .iter_mut()
+            .map(|(budget, row)| row.last(budget))
             .collect();
+        rows.sort_by(|a, b| a.budget.cmp(&b.budget));
         Draw {
-            holder,
+            holder: self.holder.clone(),
             seq: self.seq,
             rows,
         }
     }
 }
 
-impl Row {
-    fn free(&self) -> Tokens {
-        self.granted
-            .saturating_sub(self.billed)
-            .saturating_sub(self.wasted)
-            .saturating_sub(self.reserved)
-    }
-
-    fn ask(&self, budget: &Budget) -> Option<DrawRow> {
-        if self.free() >= STEP && self.free() >= self.need {
-            return None;
-        }
-        Some(self.report(budget))
-    }
-
-    fn report(&self, budget: &Budget) -> DrawRow {
-        let used = self.billed + self.wasted + self.reserved;
-        DrawRow {
-            budget: budget.clone(),
-            want: used + self.need + STEP,
-            need: used + self.need,
-            returned: Tokens::ZERO,
-            wasted: self.wasted,
-            exposure: self.granted,
-            rate: Tokens::ZERO,
-        }
-    }
-}
+const RETRY_SHORT_MILLIS: Millis = Millis(1_000);
+const RETRY_SPENT_MILLIS: Millis = Millis(60_000);
--- a/crates/core/src/machine/mod.rs
+++ b/crates/core/src/machine/mod.rs
@@ -1,33 +1,16 @@
 //! The replicated state machine: applies agreed commands in order.
 
-use serde::Deserialize;
-use serde::Serialize;
+mod apply;
+mod audit;
+mod fault;
+mod hosts;
+mod state;
+mod submissions;
 
-use crate::command::Reply;
-use crate::command::Stamped;
-use crate::config::Accepted;
-use crate::ledger::Ledger;
-
-/// All state that the control replicas agree on.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Machine {
-    ledger: Ledger,
-    accepted: Accepted,
-}
-
-impl Machine {
-    /// Applies one agreed command. The same log gives the same state and replies everywhere.
-    pub fn apply(&mut self, _stamped: &Stamped) -> Reply {
-        Reply::Done
-    }
-
-    /// The configuration in force.
-    pub fn accepted(&self) -> &Accepted {
-        &self.accepted
-    }
-
-    /// The budgets.
-    pub fn ledger(&self) -> &Ledger {
-        &self.ledger
-    }
-}
+pub use audit::Action;
+pub use audit::AuditFilter;
+pub use audit::AuditRow;
+pub use audit::MAX_AUDIT_ROWS;
+pub use fault::Fault;
+pub use state::Machine;
+pub use submissions::MAX_SUBMISSIONS;
--- a/crates/core/src/order/mod.rs
+++ b/crates/core/src/order/mod.rs
@@ -1,1 +1,3 @@
 //! Orders to upstreams: who gives them, and under which fencing number.
+
+pub mod lease;
--- /dev/null
+++ b/crates/core/tests/ledger.rs
@@ -0,0 +1,216 @@
+//! Budgets, allotments and bills.
+#![allow(clippy::panic, clippy::unwrap_used)]
+
+mod state;
+
+use chestnutnotch_core::command::Billed;
+use chestnutnotch_core::command::Command;
+use chestnutnotch_core::command::Refusal;
+use chestnutnotch_core::command::Reply;
+use chestnutnotch_core::command::Resolve;
+use chestnutnotch_core::id::Holder;
+use chestnutnotch_core::ledger::Purse;
+use chestnutnotch_core::ledger::Short;
+use chestnutnotch_core::machine::Machine;
+use chestnutnotch_core::unit::Millis;
+use chestnutnotch_core::unit::Tokens;
+
+use state::*;
+
+const PREPAID: u64 = 1_000_000;
+
+fn reserve(machine: &mut Machine, purse: &mut Purse, worst: u64) -> bool {
+    for round in 0..5 {
+        let now = Millis(round * 200);
+        if let Ok(held) = purse.reserve(now, &budget(), Tokens(worst)) {
+            purse.settle(held, Tokens(0), Tokens(0));
+            return true;
+        }
+        exchange(machine, purse, now.0);
+    }
+    false
+}
+
+fn drawn(prepaid: u64) -> (Machine, Purse) {
+    let mut machine = machine(prepaid);
+    let mut purse = purse(&mut machine, "desk-1", 1);
+    assert!(reserve(&mut machine, &mut purse, 1_000));
+    (machine, purse)
+}
+
+fn reserves_after_one_draw() {
+    let (machine, purse) = drawn(PREPAID);
+    let held = balance(&machine);
+    assert_eq!(held.allotted, purse.free(&budget()));
+    assert!(held.unallotted > held.allotted);
+}
+
+fn resent_draw_grants_once() {
+    let mut machine = machine(PREPAID);
+    let mut purse = purse(&mut machine, "desk-1", 1);
+    assert!(purse.reserve(Millis(0), &budget(), Tokens(1_000)).is_err());
+    let draw = Command::Draw(purse.draw(Millis(0)).unwrap());
+    let first = apply(&mut machine, draw.clone());
+    let before = balance(&machine);
+    assert_eq!(apply(&mut machine, draw), first);
+    assert_eq!(balance(&machine), before);
+}
+
+fn top_up_counts_once() {
+    let mut machine = machine(PREPAID);
+    let first = apply(&mut machine, top_up("may", 5));
+    assert_eq!(first, Reply::ToppedUp(Tokens(PREPAID + 5)));
+    apply(&mut machine, top_up("june", 7));
+    assert_eq!(apply(&mut machine, top_up("may", 5)), first);
+    let reused = Reply::Refused(Refusal::Reused("may".into()));
+    assert_eq!(apply(&mut machine, top_up("may", 6)), reused);
+    assert_eq!(balance(&machine).prepaid, Tokens(PREPAID + 12));
+}
+
+fn top_up_refuses_overflow() {
+    let mut machine = machine(PREPAID);
+    let reply = apply(&mut machine, top_up("may", u64::MAX));
+    assert_eq!(reply, Reply::Refused(Refusal::Range));
+}
+
+fn one_bill_per_request() {
+    let (mut machine, purse) = drawn(PREPAID);
+    let holder = purse.holder().clone();
+    let bills = vec![
+        bill(&holder, "a", 1, 10),
+        bill(&holder, "a", 1, 10),
+        bill(&holder, "a", 2, 10),
+        bill(&holder, "a", 2, 10),
+        bill(&holder, "b", 3, 5),
+    ];
+    let reply = apply(&mut machine, Command::Bill(bills));
+    let outcomes = vec![
+        Billed::Recorded,
+        Billed::Merged,
+        Billed::Merged,
+        Billed::Merged,
+        Billed::Recorded,
+    ];
+    assert_eq!(reply, Reply::Billed(outcomes));
+    let after = balance(&machine);
+    assert_eq!(after.billed, Tokens(15));
+    assert_eq!(after.wasted, Tokens(10));
+    assert_eq!(after.bills, 2);
+    assert_eq!(machine.bill(&request("a")).unwrap().attempt, 1);
+}
+
+fn leave_returns_all() {
+    let (mut machine, mut purse) = drawn(PREPAID);
+    let leave = Command::Leave(purse.leave());
+    assert_eq!(apply(&mut machine, leave.clone()), Reply::Done);
+    assert_eq!(balance(&machine).unallotted, Tokens(PREPAID));
+    assert_eq!(apply(&mut machine, leave), Reply::Done);
+}
+
+fn closed_holder_draws_nothing() {
+    let mut machine = machine(PREPAID);
+    let mut purse = purse(&mut machine, "desk-1", 1);
+    assert!(purse.reserve(Millis(0), &budget(), Tokens(1_000)).is_err());
+    apply(&mut machine, retire("desk-1"));
+    let draw = Command::Draw(purse.draw(Millis(0)).unwrap());
+    let closed = Reply::Refused(Refusal::Closed(purse.holder().clone()));
+    assert_eq!(apply(&mut machine, draw), closed);
+}
+
+fn crash_frees_all_but_exposure() {
+    let (mut machine, purse) = drawn(PREPAID);
+    let holder = purse.holder().clone();
+    apply(&mut machine, join("desk-1", 2));
+    let frozen = balance(&machine);
+    assert_eq!(frozen.unknown, purse.free(&budget()));
+    for replica in REPLICAS {
+        assert_eq!(machine.unsealed(replica), vec![holder.clone()]);
+        assert_eq!(balance(&machine), frozen);
+        apply(&mut machine, seal(replica, &holder));
+    }
+    let sealed = balance(&machine);
+    assert!(sealed.unknown < frozen.unknown);
+    assert!(sealed.unknown > Tokens(0));
+    resolve(&mut machine, &holder, 300);
+    let resolved = balance(&machine);
+    assert_eq!(resolved.unknown, Tokens(0));
+    assert_eq!(resolved.wasted, Tokens(300));
+    assert_eq!(resolved.unallotted, Tokens(PREPAID - 300));
+}
+
+fn resolve(machine: &mut Machine, holder: &Holder, produced: u64) {
+    let command = Command::Resolve(Resolve {
+        id: "found".into(),
+        holder: holder.clone(),
+        budget: budget(),
+        produced: Tokens(produced),
+    });
+    assert_eq!(apply(machine, command.clone()), Reply::Done);
+    assert_eq!(apply(machine, command), Reply::Done);
+}
+
+fn late_bill_of_closed_holder() {
+    let (mut machine, purse) = drawn(PREPAID);
+    let holder = purse.holder().clone();
+    apply(&mut machine, retire("desk-1"));
+    let bills = vec![bill(&holder, "a", 1, 10)];
+    let reply = apply(&mut machine, Command::Bill(bills));
+    assert_eq!(reply, Reply::Billed(vec![Billed::Recorded]));
+    assert_eq!(balance(&machine).billed, Tokens(10));
+}
+
+fn recall_serves_another() {
+    let mut machine = machine(10_000);
+    let mut rich = purse(&mut machine, "desk-1", 1);
+    let mut poor = purse(&mut machine, "desk-2", 1);
+    let held = loop {
+        let held = rich.reserve(Millis(0), &budget(), Tokens(9_000));
+        match held {
+            Ok(held) => break held,
+            Err(_) => exchange(&mut machine, &mut rich, 0).unwrap(),
+        };
+    };
+    rich.release(held, Tokens(0));
+    let mut now = 0;
+    while poor.reserve(Millis(now), &budget(), Tokens(9_000)).is_err() {
+        now += 100;
+        assert!(now < 5_000, "never served");
+        exchange(&mut machine, &mut poor, now);
+        exchange(&mut machine, &mut rich, now);
+    }
+}
+
+fn spent_is_said_when_true() {
+    let (mut machine, mut purse) = drawn(1_500);
+    let short = purse.reserve(Millis(0), &budget(), Tokens(2_000));
+    assert_eq!(short, Err(Short::Spent));
+    apply(&mut machine, top_up("may", 1_000));
+    let later = Millis(5_000);
+    let short = purse.reserve(later, &budget(), Tokens(2_000));
+    assert!(matches!(short, Err(Short::Allotment(_))));
+    exchange(&mut machine, &mut purse, later.0).unwrap();
+    assert!(purse.reserve(later, &budget(), Tokens(2_000)).is_ok());
+}
+
+fn region_holds_allotments() {
+    let mut machine = machine(PREPAID);
+    let mut purse = Purse::new(Holder::Region("marmara".into()));
+    assert!(reserve(&mut machine, &mut purse, 1_000));
+    apply(&mut machine, Command::Leave(purse.leave()));
+    assert_eq!(balance(&machine).unallotted, Tokens(PREPAID));
+}
+
+cases! {
+    a_reservation_follows_one_draw: reserves_after_one_draw();
+    a_resent_draw_is_granted_once: resent_draw_grants_once();
+    a_resent_top_up_adds_nothing: top_up_counts_once();
+    an_overflowing_top_up_is_refused: top_up_refuses_overflow();
+    a_request_has_one_bill: one_bill_per_request();
+    a_leaving_holder_returns_all: leave_returns_all();
+    a_closed_holder_is_refused: closed_holder_draws_nothing();
+    a_crash_freezes_the_exposure: crash_frees_all_but_exposure();
+    a_late_bill_is_taken: late_bill_of_closed_holder();
+    idle_tokens_are_recalled: recall_serves_another();
+    spent_follows_the_ledger: spent_is_said_when_true();
+    a_region_is_a_holder: region_holds_allotments();
+}
--- a/crates/wire/src/convert/reply.rs
+++ b/crates/wire/src/convert/reply.rs
@@ -85,6 +85,7 @@
             recall: from.recall.0,
             unallotted: from.unallotted.0,
             spread: from.spread.0,
+            seq: from.seq,
         }
     }
 }
@@ -100,6 +101,7 @@
             recall: Tokens(from.recall),
             unallotted: Tokens(from.unallotted),
             spread: Tokens(from.spread),
+            seq: from.seq,
         })
     }
 }
@@ -146,12 +148,14 @@
             Refusal::NoBudget(budget) => refusal::Kind::NoBudget(budget.to_string()),
             Refusal::Invalid(error) => refusal::Kind::Invalid(error.into()),
             Refusal::Closed(holder) => refusal::Kind::Closed(holder.into()),
+            Refusal::Open(holder) => refusal::Kind::Open(holder.into()),
             Refusal::NoClaim => refusal::Kind::NoClaim(proto::Done {}),
             Refusal::Led { router, until } => refusal::Kind::Led(proto::Led {
                 router: Some(router.into()),
                 until: until.0,
             }),
             Refusal::Range => refusal::Kind::Range(proto::Done {}),
+            Refusal::Full => refusal::Kind::Full(proto::Done {}),
         };
         Self { kind: Some(kind) }
     }
@@ -174,12 +178,14 @@
             refusal::Kind::NoBudget(budget) => Self::NoBudget(budget.into()),
             refusal::Kind::Invalid(error) => Self::Invalid(error.try_into()?),
             refusal::Kind::Closed(holder) => Self::Closed(holder.try_into()?),
+            refusal::Kind::Open(holder) => Self::Open(holder.try_into()?),
             refusal::Kind::NoClaim(_) => Self::NoClaim,
             refusal::Kind::Led(led) => Self::Led {
                 router: router(led.router, "Led")?,
                 until: Millis(led.until),
             },
             refusal::Kind::Range(_) => Self::Range,
+            refusal::Kind::Full(_) => Self::Full,
         })
     }
 }
