Control process: service, client that finds the leader, bill spool with seals

A replica serves a watch only while a quorum confirms that it leads, and says so every second, so that a follower leaves an isolated replica. Bills that no quorum takes are synced to the disk of any one replica and handed in later; a replica seals a closed holder, on disk, before the ledger may free what the holder left.

--- /dev/null
+++ b/crates/fleet/src/control.rs
@@ -0,0 +1,110 @@
+//! The control process: a replica, the bill spool and the service around them.
+
+use std::future::Future;
+use std::net::SocketAddr;
+
+use chestnutnotch_core::id::Operator;
+use chestnutnotch_wire::proto::control_server::ControlServer as ControlRpc;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use crate::controllers::replica;
+use crate::controllers::spool::SpoolActor;
+use crate::controllers::spool::SpoolArgs;
+use crate::edges::rpc::ControlClient;
+use crate::edges::rpc::ControlServer;
+use crate::edges::rpc::MESSAGE_BYTES;
+use crate::settings::ReplicaSettings;
+use crate::settings::Settings;
+use crate::timer::Timer;
+
+/// Why a control process can't start or go on.
+#[derive(Debug, Error)]
+pub enum ServeError {
+    /// The settings have no `[replica]` table.
+    #[error("the settings of a control process need a [replica] table")]
+    NoReplica,
+    /// The address can't be listened on.
+    #[error("can't listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The replica can't start.
+    #[error(transparent)]
+    Replica(#[from] replica::StartError),
+    /// The bill spool can't be opened.
+    #[error("bill spool: {0}")]
+    Spool(#[from] ractor::SpawnErr),
+    /// The RPC server failed.
+    #[error("RPC server: {0}")]
+    Rpc(#[from] tonic::transport::Error),
+}
+
+/// Runs a control process on the address of its settings until `stop` resolves.
+///
+/// # Errors
+///
+/// See [`ServeError`].
+pub async fn run(
+    settings: Settings,
+    timer: Timer,
+    stop: impl Future<Output = ()> + Send,
+) -> Result<(), ServeError> {
+    let address = settings
+        .replica
+        .as_ref()
+        .ok_or(ServeError::NoReplica)?
+        .listen;
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|source| ServeError::Listen { address, source })?;
+    serve(settings, listener, timer, stop).await
+}
+
+/// Runs a control process on a bound listener until `stop` resolves.
+///
+/// # Errors
+///
+/// See [`ServeError`].
+pub async fn serve(
+    settings: Settings,
+    listener: TcpListener,
+    timer: Timer,
+    stop: impl Future<Output = ()> + Send,
+) -> Result<(), ServeError> {
+    let own: ReplicaSettings = settings.replica.clone().ok_or(ServeError::NoReplica)?;
+    let (handle, peers) = replica::start(&own, &settings.control, &timer).await?;
+    let name = format!("control {}", settings.host.name);
+    let client = ControlClient::new(settings.control, Operator::from(name));
+    let args = SpoolArgs {
+        folder: own.data,
+        replica: handle.clone(),
+        client,
+        timer: timer.clone(),
+    };
+    let spool = SpoolActor::start(args).await?;
+    let control = ControlServer::new(handle.clone(), spool.clone(), timer);
+    let control = ControlRpc::new(control)
+        .max_decoding_message_size(MESSAGE_BYTES)
+        .max_encoding_message_size(MESSAGE_BYTES);
+    log::info!(
+        "control process {} listens on {}",
+        settings.host.name,
+        own.listen
+    );
+    Server::builder()
+        .tcp_nodelay(true)
+        .add_service(control)
+        .add_service(peers.into_server())
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), stop)
+        .await?;
+    spool.stop(None);
+    handle.stop().await;
+    log::info!("control process {} has stopped", settings.host.name);
+    Ok(())
+}
--- a/crates/fleet/src/edges/disk/mod.rs
+++ b/crates/fleet/src/edges/disk/mod.rs
@@ -5,6 +5,7 @@
 //! | `lock` | empty; locked while a process uses the folder |
 //! | `identity` | the replica's random identity |
 //! | `snapshot` | the newest snapshot |
+//! | `bills.spool` | bills kept here while no quorum answers, see [`spool`] |
 //! | `log-N` | segment N of the log: votes and entries, one frame for each sync |
 //!
 //! Every file but `lock` consists of checksummed [`frame`]s. An incomplete last frame of the last
@@ -17,6 +18,7 @@
 pub mod identity;
 pub mod segment;
 pub mod snapshot;
+pub mod spool;
 
 pub use error::DiskError;
 pub use folder::Folder;
--- a/crates/fleet/src/edges/rpc/mod.rs
+++ b/crates/fleet/src/edges/rpc/mod.rs
@@ -1,7 +1,17 @@
 //! RPC between the processes of the system.
 
+mod backoff;
 mod client;
+mod control;
 pub mod peer;
+mod views;
+mod watch;
 
 pub use client::ControlClient;
 pub use client::ControlError;
+pub(crate) use client::MESSAGE_BYTES;
+pub use control::ControlServer;
+pub use control::Reports;
+
+/// Metadata key under which a replica that does not lead names the one that does.
+pub const LEADER_KEY: &str = "leader";
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`filters`]: the chain that each caller's request passes through.
 //! - [`controllers`]: actors that drive the pure decisions of `chestnutnotch-core`.
 
+pub mod control;
 pub mod controllers;
 pub mod edges;
 pub mod filters;
--- a/crates/wire/examples/generate.rs
+++ b/crates/wire/examples/generate.rs
@@ -2,13 +2,22 @@
 //!
 //! With `--check` it only says whether the committed file is current.
 
-use std::error::Error;
+use std::io;
 use std::path::Path;
 use std::process::ExitCode;
 
+/// Why the code can't be generated.
+#[derive(Debug, thiserror::Error)]
+enum GenerateError {
+    #[error("{0}")]
+    Proto(#[from] protox::Error),
+    #[error("{0}")]
+    Io(#[from] io::Error),
+}
+
 const PACKAGE_FILE: &str = "chestnutnotch.v1.rs";
 
-fn main() -> Result<ExitCode, Box<dyn Error>> {
+fn main() -> Result<ExitCode, GenerateError> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let target = root.join("src/proto.rs");
     let generated = generate(root)?;
@@ -27,7 +36,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn generate(root: &Path) -> Result<String, Box<dyn Error>> {
+fn generate(root: &Path) -> Result<String, GenerateError> {
     let proto = root.join("proto");
     let files = protox::compile([proto.join("chestnutnotch.proto")], [&proto])?;
     let out = std::env::temp_dir().join(format!("chestnutnotch-generate-{}", std::process::id()));
