Prove the table of upstreams: order, use, quarantine

Quarantine: 500 seeded runs of three routers and six upstreams; a request that crashes each upstream crashes two in all. Without the spread of evidence the same runs show more. Cause found on the way: an upstream with a broken connection was used again before it was asked; now a doubt counts as stale. The second mark of a request is told before it is settled, since a dead host is given up on later than the caller resends.

--- a/crates/core/src/upstream/quarantine.rs
+++ b/crates/core/src/upstream/quarantine.rs
@@ -5,6 +5,10 @@
 //! does, the mark is evidence of a crash. A request with two marks is not run a third time: while
 //! one of them is not settled it is a suspect, with two crashes it is in quarantine. A whole answer
 //! acquits a request, so one that only stood beside the culprit is freed by its retry.
+//!
+//! The second mark is told to the other routers before it is settled, since the caller may resend
+//! through one of them sooner than a dead host is given up on. They ask for themselves, and an
+//! answer refutes the mark there as well.
 
 use crate::id::Fingerprint;
 use crate::id::Upstream;
@@ -52,6 +56,17 @@
     incarnation: Incarnation,
     at: Millis,
     crashed: bool,
+    told: bool,
+}
+
+impl Mark {
+    fn crash(&self, body: Fingerprint) -> Crash {
+        Crash {
+            body,
+            upstream: self.upstream.clone(),
+            incarnation: self.incarnation,
+        }
+    }
 }
 
 /// Upstream crashes from which on a request is not run again.
@@ -81,7 +96,23 @@
 
     /// The connection broke while the upstream ran the request; whether it crashed is open.
     pub fn broke(&mut self, now: Millis, crash: Crash) {
+        let body = crash.body;
         self.mark(now, crash, false);
+        if self
+            .marks
+            .get(&body)
+            .is_some_and(|marks| marks.len() >= MOST_CRASHES)
+        {
+            self.tell(body);
+        }
+    }
+
+    fn tell(&mut self, body: Fingerprint) {
+        let marks = self.marks.get_mut(&body).into_iter().flatten();
+        for mark in marks.filter(|mark| !mark.told) {
+            mark.told = true;
+            self.found.push(mark.crash(body));
+        }
     }
 
     /// The upstream crashed while it ran the request. Returns whether that is news.
@@ -98,15 +129,13 @@
                 .filter(|mark| mark.incarnation <= last);
             for mark in open {
                 mark.crashed = true;
-                if self.found.len() < MOST_FOUND {
-                    self.found.push(Crash {
-                        body: *body,
-                        upstream: upstream.clone(),
-                        incarnation: mark.incarnation,
-                    });
+                if !mark.told {
+                    mark.told = true;
+                    self.found.push(mark.crash(*body));
                 }
             }
         }
+        self.found.truncate(MOST_FOUND);
     }
 
     /// The upstream answered with this incarnation to a question sent at `sent`: marks made until
@@ -155,6 +184,7 @@
         if let Some(mark) = known {
             let news = crashed && !mark.crashed;
             mark.crashed |= crashed;
+            mark.told |= crashed;
             mark.at = now;
             return news;
         }
@@ -166,6 +196,7 @@
             incarnation: crash.incarnation,
             at: now,
             crashed,
+            told: crashed,
         });
         crashed
     }
--- a/crates/core/src/upstream/row.rs
+++ b/crates/core/src/upstream/row.rs
@@ -132,8 +132,9 @@
         }
     }
 
+    /// Whether it is asked before use: it was not heard of lately, or there is reason to doubt it.
     pub fn stale(&self, now: Millis, rules: &Rules) -> bool {
-        !self.proven || now >= self.heard + rules.stale
+        !self.proven || self.doubt || now >= self.heard + rules.stale
     }
 
     /// Requests that run on it, as far as known.
--- /dev/null
+++ b/crates/core/tests/upstream_quarantine.rs
@@ -0,0 +1,363 @@
+//! Requests that crash upstreams: cases at one router, and seeded runs of several routers whose
+//! caller sends a crashing request again and again.
+
+use chestnutnotch_core::id::DataCentre;
+use chestnutnotch_core::id::Fingerprint;
+use chestnutnotch_core::id::Service;
+use chestnutnotch_core::id::Upstream;
+use chestnutnotch_core::unit::Incarnation;
+use chestnutnotch_core::unit::Millis;
+use chestnutnotch_core::upstream::Absent;
+use chestnutnotch_core::upstream::Announcement;
+use chestnutnotch_core::upstream::Crash;
+use chestnutnotch_core::upstream::Ended;
+use chestnutnotch_core::upstream::Kind;
+use chestnutnotch_core::upstream::Load;
+use chestnutnotch_core::upstream::Offer;
+use chestnutnotch_core::upstream::Phase;
+use chestnutnotch_core::upstream::Pick;
+use chestnutnotch_core::upstream::Rules;
+use chestnutnotch_core::upstream::Table;
+use chestnutnotch_core::upstream::Wanted;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+fn says(name: &str, incarnation: u64, seq: u64) -> Announcement {
+    Announcement {
+        upstream: Upstream::from(name),
+        incarnation: Incarnation(incarnation),
+        seq,
+        address: ([127, 0, 0, 1], 9000).into(),
+        centre: DataCentre::from("a"),
+        phase: Phase::Ready,
+        offer: Offer::Service(Service::from("desk")),
+        slots: 8,
+        load: Load::default(),
+        fences: false,
+        cached: Vec::new(),
+        evicted: Vec::new(),
+    }
+}
+
+fn wanted(body: &str) -> Wanted {
+    Wanted {
+        kind: Kind::Service(Service::from("desk")),
+        priority: 0,
+        prefixes: Vec::new(),
+        body: Fingerprint::of(body),
+        avoid: Vec::new(),
+    }
+}
+
+fn table(names: &[&str]) -> Table {
+    let mut table = Table::new(DataCentre::from("a"));
+    for name in names {
+        table.observe(Millis(0), says(name, 1, 1));
+        table.observe(Millis(0), says(name, 1, 2));
+    }
+    table
+}
+
+fn run(table: &mut Table, now: u64, body: &str, ended: Ended) -> Pick {
+    let pick = table.choose(Millis(now), &wanted(body)).expect("one");
+    table.end(Millis(now), pick.attempt, ended);
+    pick
+}
+
+fn answers(table: &mut Table, now: u64, pick: &Pick, incarnation: u64) {
+    let said = says(pick.upstream.as_str(), incarnation, 50 + now);
+    table.asked(Millis(now), &pick.upstream, pick.incarnation, Some(said));
+}
+
+fn refusal(table: &mut Table, now: u64, body: &str) -> Absent {
+    table
+        .choose(Millis(now), &wanted(body))
+        .expect_err("a refusal")
+}
+
+macro_rules! case {
+    ($($name:ident => $body:block)*) => {$(
+        #[test]
+        fn $name() $body
+    )*};
+}
+
+case! {
+    two_breaks_hold_a_request_until_both_upstreams_answered => {
+        let mut table = table(&["w1", "w2", "w3"]);
+        let first = run(&mut table, 1, "p", Ended::Broken);
+        let second = run(&mut table, 2, "p", Ended::Broken);
+        assert!(matches!(refusal(&mut table, 3, "p"), Absent::Suspect { .. }));
+        assert_eq!(table.probes(Millis(3)).len(), 2);
+        answers(&mut table, 4, &first, 1);
+        answers(&mut table, 4, &second, 1);
+        assert!(table.choose(Millis(5), &wanted("p")).is_ok());
+    }
+
+    two_crashes_are_final => {
+        let mut table = table(&["w1", "w2", "w3"]);
+        let first = run(&mut table, 1, "p", Ended::Broken);
+        let second = run(&mut table, 2, "p", Ended::Broken);
+        table.probes(Millis(3));
+        answers(&mut table, 4, &first, 2);
+        table.asked(Millis(4), &second.upstream, second.incarnation, None);
+        let until = Millis(2) + Rules::default().quarantine;
+        assert_eq!(refusal(&mut table, 5, "p"), Absent::Quarantined { until });
+        assert!(table.choose(Millis(5), &wanted("other")).is_ok());
+        let mut out = Vec::new();
+        table.crashes(&mut out);
+        assert_eq!(out.len(), 2);
+    }
+
+    a_whole_answer_acquits => {
+        let mut table = table(&["w1", "w2", "w3"]);
+        let first = run(&mut table, 1, "p", Ended::Broken);
+        table.probes(Millis(1));
+        answers(&mut table, 2, &first, 2);
+        run(&mut table, 3, "p", Ended::Whole);
+        run(&mut table, 4, "p", Ended::Broken);
+        assert!(table.choose(Millis(5), &wanted("p")).is_ok());
+    }
+
+    an_answer_to_a_question_from_before_the_break_refutes_nothing => {
+        let mut table = table(&["w1", "w2"]);
+        let now = 5_000;
+        let first = table.choose(Millis(now), &wanted("p")).expect("one");
+        assert!(first.ask);
+        table.end(Millis(now + 1), first.attempt, Ended::Broken);
+        answers(&mut table, now + 2, &first, 1);
+        let second = table.choose(Millis(now + 3), &Wanted { avoid: vec![first.upstream.clone()], ..wanted("p") }).expect("one");
+        table.end(Millis(now + 4), second.attempt, Ended::Broken);
+        assert!(matches!(refusal(&mut table, now + 5, "p"), Absent::Suspect { .. }));
+    }
+
+    heard_evidence_counts_and_a_direct_answer_refutes_it => {
+        let mut table = table(&["w1", "w2", "w3"]);
+        let body = Fingerprint::of("p");
+        assert!(table.crash(Millis(1), body, &Upstream::from("w1"), Incarnation(1)));
+        assert!(!table.crash(Millis(1), body, &Upstream::from("w1"), Incarnation(1)));
+        assert!(table.crash(Millis(1), body, &Upstream::from("w2"), Incarnation(1)));
+        assert!(matches!(refusal(&mut table, 2, "p"), Absent::Quarantined { .. }));
+        let probes = table.probes(Millis(2));
+        assert_eq!(probes.len(), 2);
+        let said = says(probes[0].upstream.as_str(), 1, 9);
+        table.asked(Millis(3), &probes[0].upstream, probes[0].incarnation, Some(said));
+        assert!(table.choose(Millis(4), &wanted("p")).is_ok());
+    }
+
+    connections_that_were_not_made_are_no_evidence => {
+        let mut table = table(&["w1", "w2", "w3"]);
+        run(&mut table, 1, "p", Ended::Unreachable);
+        run(&mut table, 1, "p", Ended::Unreachable);
+        assert!(table.choose(Millis(2), &wanted("p")).is_ok());
+    }
+
+    marked_requests_are_kept_apart => {
+        let mut table = table(&["w1", "w2", "w3"]);
+        for body in ["p", "q"] {
+            table.crash(Millis(0), Fingerprint::of(body), &Upstream::from("w9"), Incarnation(1));
+        }
+        let first = table.choose(Millis(1), &wanted("p")).expect("one");
+        let second = table.choose(Millis(1), &wanted("q")).expect("one");
+        assert_ne!(first.upstream, second.upstream);
+    }
+
+    evidence_expires => {
+        let mut table = table(&["w1"]);
+        let body = Fingerprint::of("p");
+        table.crash(Millis(1), body, &Upstream::from("w8"), Incarnation(1));
+        table.crash(Millis(1), body, &Upstream::from("w9"), Incarnation(1));
+        assert!(matches!(refusal(&mut table, 600_000, "p"), Absent::Quarantined { .. }));
+        table.observe(Millis(600_000), says("w1", 1, 3));
+        table.tick(Millis(600_001));
+        assert!(table.choose(Millis(600_001), &wanted("p")).is_ok());
+    }
+
+    evidence_is_bounded_and_crashes_outlast_marks => {
+        let mut table = table(&["w1", "w2"]);
+        let guilty = Fingerprint::of("p");
+        table.crash(Millis(0), guilty, &Upstream::from("w8"), Incarnation(1));
+        table.crash(Millis(0), guilty, &Upstream::from("w9"), Incarnation(1));
+        for n in 0_u32..10_000 {
+            let body = Fingerprint::of(n.to_le_bytes());
+            table.crash(Millis(1), body, &Upstream::from("w9"), Incarnation(1));
+        }
+        assert!(matches!(refusal(&mut table, 2, "p"), Absent::Quarantined { .. }));
+    }
+}
+
+/// What a run leaves out, to show what it is for.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Without {
+    Nothing,
+    Spread,
+}
+
+#[derive(Debug)]
+enum Event {
+    Break(usize, Pick),
+    Ask(usize, Upstream, Incarnation),
+    Answer(usize, Upstream, Incarnation, Option<Announcement>),
+    Hear(usize, Crash),
+    Restart(usize),
+    Send(usize),
+}
+
+/// Routers and upstreams; the caller of the crashing request sends it again a second after each
+/// final answer, through the next router.
+struct Fleet {
+    rng: ChaCha8Rng,
+    without: Without,
+    tables: Vec<Table>,
+    starts: Vec<(u64, bool)>,
+    agenda: std::collections::BTreeMap<(u64, u64), Event>,
+    number: u64,
+    crashes: u32,
+    sent: u32,
+    seq: u64,
+}
+
+const ROUTERS: usize = 3;
+const UPSTREAMS: usize = 6;
+const SENDS: u32 = 12;
+
+impl Fleet {
+    fn new(seed: u64, without: Without) -> Self {
+        let names: Vec<String> = (0..UPSTREAMS).map(|n| format!("w{n}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut fleet = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            without,
+            tables: (0..ROUTERS).map(|_| table(&names)).collect(),
+            starts: vec![(1, true); UPSTREAMS],
+            agenda: std::collections::BTreeMap::new(),
+            number: 0,
+            crashes: 0,
+            sent: 0,
+            seq: 100,
+        };
+        fleet.at(10, Event::Send(0));
+        fleet
+    }
+
+    fn at(&mut self, when: u64, event: Event) {
+        self.number += 1;
+        self.agenda.insert((when, self.number), event);
+    }
+
+    fn within(&mut self, now: u64, most: u64, event: Event) {
+        let delay = 1 + self.rng.next_u64() % most;
+        self.at(now + delay, event);
+    }
+
+    fn run(mut self) -> u32 {
+        while let Some(((now, _), event)) = self.agenda.pop_first() {
+            self.handle(now, event);
+            self.ask(now);
+            self.spread(now);
+        }
+        self.crashes
+    }
+
+    fn handle(&mut self, now: u64, event: Event) {
+        match event {
+            Event::Send(router) => self.send(now, router),
+            Event::Break(router, pick) => {
+                self.tables[router].end(Millis(now), pick.attempt, Ended::Broken);
+                self.send(now, router);
+            }
+            Event::Ask(router, upstream, known) => {
+                let (incarnation, up) = self.starts[index(&upstream)];
+                self.seq += 1;
+                let said = up.then(|| says(upstream.as_str(), incarnation, self.seq));
+                let most = if up { 50 } else { 3_000 };
+                self.within(now, most, Event::Answer(router, upstream, known, said));
+            }
+            Event::Answer(router, upstream, known, said) => {
+                self.tables[router].asked(Millis(now), &upstream, known, said);
+            }
+            Event::Hear(router, crash) => {
+                self.tables[router].crash(
+                    Millis(now),
+                    crash.body,
+                    &crash.upstream,
+                    crash.incarnation,
+                );
+            }
+            Event::Restart(which) => self.starts[which] = (self.starts[which].0 + 1, true),
+        }
+    }
+
+    /// A first attempt of the crashing request, or the router's own retry.
+    fn send(&mut self, now: u64, router: usize) {
+        match self.tables[router].choose(Millis(now), &wanted("p")) {
+            Ok(pick) => self.crash(now, router, pick),
+            Err(_) if self.sent < SENDS => {
+                self.sent += 1;
+                self.at(now + 1_000, Event::Send((router + 1) % ROUTERS));
+            }
+            Err(_) => {}
+        }
+    }
+
+    fn crash(&mut self, now: u64, router: usize, pick: Pick) {
+        let which = index(&pick.upstream);
+        if self.starts[which] != (pick.incarnation.0, true) {
+            self.tables[router].end(Millis(now), pick.attempt, Ended::Unreachable);
+            self.within(now, 10, Event::Send(router));
+            return;
+        }
+        self.crashes += 1;
+        self.starts[which].1 = false;
+        self.within(now, 3_000, Event::Restart(which));
+        self.within(now, 20, Event::Break(router, pick));
+    }
+
+    fn ask(&mut self, now: u64) {
+        for router in 0..ROUTERS {
+            for probe in self.tables[router].probes(Millis(now)) {
+                self.within(
+                    now,
+                    20,
+                    Event::Ask(router, probe.upstream, probe.incarnation),
+                );
+            }
+        }
+    }
+
+    fn spread(&mut self, now: u64) {
+        for router in 0..ROUTERS {
+            let mut found = Vec::new();
+            self.tables[router].crashes(&mut found);
+            if self.without == Without::Spread {
+                continue;
+            }
+            for crash in found {
+                for peer in (0..ROUTERS).filter(|peer| *peer != router) {
+                    self.within(now, 900, Event::Hear(peer, crash.clone()));
+                }
+            }
+        }
+    }
+}
+
+fn index(upstream: &Upstream) -> usize {
+    upstream.as_str()[1..].parse().expect("a number")
+}
+
+fn worst(without: Without) -> u32 {
+    (0..500)
+        .map(|seed| Fleet::new(seed, without).run())
+        .max()
+        .unwrap_or(0)
+}
+
+case! {
+    a_crashing_request_runs_twice_in_the_whole_fleet => {
+        assert_eq!(worst(Without::Nothing), 2);
+    }
+    without_spread_it_runs_more_often => {
+        assert!(worst(Without::Spread) > 2);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/upstream_table.rs
@@ -0,0 +1,349 @@
+//! Use, drain, ejection and choice of upstreams at one router.
+
+use chestnutnotch_core::id::DataCentre;
+use chestnutnotch_core::id::Fingerprint;
+use chestnutnotch_core::id::Host;
+use chestnutnotch_core::id::Model;
+use chestnutnotch_core::id::Upstream;
+use chestnutnotch_core::unit::Incarnation;
+use chestnutnotch_core::unit::Millis;
+use chestnutnotch_core::upstream::Absent;
+use chestnutnotch_core::upstream::Announcement;
+use chestnutnotch_core::upstream::Ended;
+use chestnutnotch_core::upstream::Keepers;
+use chestnutnotch_core::upstream::Kind;
+use chestnutnotch_core::upstream::Load;
+use chestnutnotch_core::upstream::Offer;
+use chestnutnotch_core::upstream::Phase;
+use chestnutnotch_core::upstream::Pick;
+use chestnutnotch_core::upstream::Rules;
+use chestnutnotch_core::upstream::Table;
+use chestnutnotch_core::upstream::Usage;
+use chestnutnotch_core::upstream::Wanted;
+use chestnutnotch_core::upstream::announce::Loaded;
+
+const SLOTS: u32 = 4;
+
+fn says(name: &str, incarnation: u64, seq: u64) -> Announcement {
+    let loaded = Loaded {
+        model: Model::from("chat"),
+        adapter: None,
+        version: 1,
+    };
+    Announcement {
+        upstream: Upstream::from(name),
+        incarnation: Incarnation(incarnation),
+        seq,
+        address: ([127, 0, 0, 1], 9000).into(),
+        centre: DataCentre::from("a"),
+        phase: Phase::Ready,
+        offer: Offer::Models(vec![loaded]),
+        slots: SLOTS,
+        load: Load::default(),
+        fences: false,
+        cached: Vec::new(),
+        evicted: Vec::new(),
+    }
+}
+
+fn leaves(name: &str, incarnation: u64, seq: u64) -> Announcement {
+    Announcement {
+        phase: Phase::Leaving,
+        ..says(name, incarnation, seq)
+    }
+}
+
+fn wanted() -> Wanted {
+    Wanted {
+        kind: Kind::Model(Model::from("chat"), None),
+        priority: 0,
+        prefixes: Vec::new(),
+        body: Fingerprint::of("body"),
+        avoid: Vec::new(),
+    }
+}
+
+/// A table that knows these upstreams well at time 0.
+fn table(names: &[&str]) -> Table {
+    let mut table = Table::new(DataCentre::from("a"));
+    for name in names {
+        table.observe(Millis(0), says(name, 1, 1));
+        table.observe(Millis(0), says(name, 1, 2));
+    }
+    table
+}
+
+fn usage(table: &Table, now: u64, name: &str) -> Usage {
+    table
+        .rows(Millis(now))
+        .find(|row| row.upstream.as_str() == name)
+        .expect("a row")
+        .usage
+}
+
+fn pick(table: &mut Table, now: u64) -> Pick {
+    table.choose(Millis(now), &wanted()).expect("an upstream")
+}
+
+fn absent(table: &mut Table, now: u64) -> Absent {
+    table.choose(Millis(now), &wanted()).expect_err("none")
+}
+
+macro_rules! case {
+    ($($name:ident => $body:block)*) => {$(
+        #[test]
+        fn $name() $body
+    )*};
+}
+
+case! {
+    nothing_known => {
+        assert_eq!(absent(&mut table(&[]), 0), Absent::NoneKnown);
+    }
+
+    a_first_sighting_is_asked_before_use => {
+        let mut table = Table::new(DataCentre::from("a"));
+        table.observe(Millis(0), says("w1", 1, 7));
+        assert!(pick(&mut table, 0).ask);
+        table.observe(Millis(1), says("w1", 1, 8));
+        assert!(!pick(&mut table, 1).ask);
+    }
+
+    a_repeat_is_no_news_and_no_proof => {
+        let mut table = Table::new(DataCentre::from("a"));
+        assert!(table.observe(Millis(0), says("w1", 1, 7)));
+        assert!(!table.observe(Millis(1), says("w1", 1, 7)));
+        assert!(pick(&mut table, 1).ask);
+    }
+
+    a_leave_ends_new_work_though_attempts_are_open => {
+        let mut table = table(&["w1"]);
+        let open = pick(&mut table, 0);
+        table.observe(Millis(1), leaves("w1", 1, 3));
+        table.observe(Millis(2), says("w1", 1, 4));
+        assert_eq!(absent(&mut table, 2), Absent::NoneUsable);
+        table.end(Millis(3), open.attempt, Ended::Whole);
+        assert_eq!(absent(&mut table, 3), Absent::NoneUsable);
+        assert_eq!(usage(&table, 3, "w1"), Usage::Leaving);
+    }
+
+    a_new_start_after_a_leave_is_used_once_asked => {
+        let mut table = table(&["w1"]);
+        table.observe(Millis(1), leaves("w1", 1, 3));
+        table.observe(Millis(2), says("w1", 2, 1));
+        let pick = pick(&mut table, 2);
+        assert!(pick.ask);
+        assert_eq!(pick.incarnation, Incarnation(2));
+    }
+
+    a_leave_that_is_forgotten_does_not_come_back_unasked => {
+        let mut table = table(&["w1"]);
+        table.observe(Millis(1), leaves("w1", 1, 3));
+        table.tick(Millis(10_000_000));
+        assert_eq!(table.rows(Millis(10_000_000)).count(), 0);
+        table.observe(Millis(10_000_000), says("w1", 1, 2));
+        assert!(pick(&mut table, 10_000_000).ask);
+    }
+
+    an_unheard_upstream_is_asked_and_then_used => {
+        let mut table = table(&["w1"]);
+        let first = pick(&mut table, 5_000);
+        assert!(first.ask);
+        table.asked(Millis(5_001), &first.upstream, first.incarnation, Some(says("w1", 1, 3)));
+        assert!(!pick(&mut table, 5_002).ask);
+    }
+
+    an_upstream_that_does_not_answer_is_not_used => {
+        let mut table = table(&["w1"]);
+        let first = pick(&mut table, 5_000);
+        table.asked(Millis(5_001), &first.upstream, first.incarnation, None);
+        assert_eq!(absent(&mut table, 5_002), Absent::NoneUsable);
+        table.observe(Millis(5_003), says("w1", 1, 9));
+        assert_eq!(absent(&mut table, 5_004), Absent::NoneUsable);
+        assert!(pick(&mut table, 8_000).ask);
+    }
+
+    an_address_taken_over_by_another_counts_as_silence => {
+        let mut table = table(&["w1"]);
+        let first = pick(&mut table, 5_000);
+        table.asked(Millis(5_001), &first.upstream, first.incarnation, Some(says("w9", 1, 1)));
+        assert_eq!(usage(&table, 5_001, "w1"), Usage::Silent);
+    }
+
+    an_answer_that_it_leaves_ends_use => {
+        let mut table = table(&["w1"]);
+        let first = pick(&mut table, 5_000);
+        table.asked(Millis(5_001), &first.upstream, first.incarnation, Some(leaves("w1", 1, 3)));
+        assert_eq!(absent(&mut table, 5_002), Absent::NoneUsable);
+    }
+
+    slots_are_respected => {
+        let mut table = table(&["w1", "w2"]);
+        let picks: Vec<Pick> = (0..2 * SLOTS).map(|_| pick(&mut table, 0)).collect();
+        assert_eq!(absent(&mut table, 0), Absent::Full);
+        table.end(Millis(1), picks[0].attempt, Ended::Whole);
+        assert_eq!(pick(&mut table, 1).upstream, picks[0].upstream);
+    }
+
+    reported_load_of_others_counts => {
+        let mut table = table(&["w1"]);
+        let load = Load { running: SLOTS, waiting: 0, cache: 0 };
+        table.observe(Millis(0), Announcement { load, ..says("w1", 1, 3) });
+        assert_eq!(absent(&mut table, 0), Absent::Full);
+    }
+
+    own_attempts_in_a_report_do_not_count_twice => {
+        let mut table = table(&["w1"]);
+        pick(&mut table, 0);
+        pick(&mut table, 0);
+        let load = Load { running: 2, waiting: 0, cache: 0 };
+        table.observe(Millis(0), Announcement { load, ..says("w1", 1, 3) });
+        pick(&mut table, 0);
+        pick(&mut table, 0);
+        assert_eq!(absent(&mut table, 0), Absent::Full);
+    }
+
+    an_attempt_at_an_old_start_does_not_lower_the_count_of_the_new => {
+        let mut table = table(&["w1"]);
+        let old = pick(&mut table, 0);
+        table.observe(Millis(1), says("w1", 2, 1));
+        table.observe(Millis(1), says("w1", 2, 2));
+        pick(&mut table, 1);
+        table.end(Millis(2), old.attempt, Ended::Neutral);
+        let row = table.rows(Millis(2)).next().expect("a row");
+        assert_eq!(row.flying, 1);
+    }
+
+    overload_pauses_and_does_not_eject => {
+        let mut table = table(&["w1"]);
+        for now in 0..10 {
+            let pick = table.choose(Millis(now * 300), &wanted()).expect("one");
+            table.observe(Millis(now * 300), says("w1", 1, 10 + now));
+            table.end(Millis(now * 300), pick.attempt, Ended::Overload);
+            assert_eq!(usage(&table, now * 300, "w1"), Usage::Full);
+        }
+        assert_eq!(usage(&table, 2_950, "w1"), Usage::Used);
+    }
+
+    faults_eject_and_a_trial_brings_back => {
+        let mut table = table(&["w1", "w2"]);
+        let mut now = 0;
+        while !matches!(usage(&table, now, "w1"), Usage::Ejected { .. }) {
+            let only = Wanted { avoid: vec![Upstream::from("w2")], ..wanted() };
+            let pick = table.choose(Millis(now), &only).expect("w1");
+            table.end(Millis(now), pick.attempt, Ended::Late);
+            now += 1;
+        }
+        assert_eq!(now, 3);
+        assert!(matches!(usage(&table, now, "w1"), Usage::Ejected { .. }));
+        assert!((0..SLOTS).all(|_| pick(&mut table, now).upstream.as_str() == "w2"));
+        table.observe(Millis(1_100), says("w1", 1, 3));
+        assert_eq!(usage(&table, 1_100, "w1"), Usage::Used);
+        let trial = pick(&mut table, 1_100);
+        assert!(matches!(usage(&table, 1_100, "w1"), Usage::Ejected { .. }));
+        table.end(Millis(1_200), trial.attempt, Ended::Whole);
+        assert_eq!(usage(&table, 1_200, "w1"), Usage::Used);
+    }
+
+    at_most_half_are_taken_out_by_faults => {
+        let names = ["w1", "w2", "w3", "w4"];
+        let mut table = table(&names);
+        for name in names {
+            let others: Vec<Upstream> = names.iter().filter(|one| **one != name).map(|one| Upstream::from(*one)).collect();
+            let only = Wanted { avoid: others, ..wanted() };
+            for _ in 0..3 {
+                let pick = table.choose(Millis(0), &only).expect("one");
+                table.end(Millis(0), pick.attempt, Ended::Late);
+            }
+        }
+        let picks: Vec<Pick> = (0..2 * SLOTS).map(|_| pick(&mut table, 1)).collect();
+        assert!(picks.iter().all(|pick| pick.ask));
+        assert_eq!(absent(&mut table, 1), Absent::Full);
+    }
+
+    a_fault_has_the_upstream_asked_at_once => {
+        let mut table = table(&["w1", "w2"]);
+        let pick = pick(&mut table, 0);
+        assert!(table.probes(Millis(1)).is_empty());
+        table.end(Millis(2), pick.attempt, Ended::Unreachable);
+        let probes = table.probes(Millis(2));
+        assert_eq!(probes.len(), 1);
+        assert_eq!(probes[0].upstream, pick.upstream);
+        assert!(table.probes(Millis(3)).is_empty());
+        table.asked(Millis(4), &pick.upstream, pick.incarnation, None);
+        assert_eq!(usage(&table, 4, pick.upstream.as_str()), Usage::Silent);
+    }
+
+    a_cached_prefix_draws_and_load_wins => {
+        let mut table = table(&["w1", "w2", "w3", "w4", "w5", "w6"]);
+        table.observe(Millis(0), Announcement { cached: vec![11, 12], slots: 8, ..says("w4", 1, 3) });
+        let prompt = Wanted { prefixes: vec![11, 12], ..wanted() };
+        assert_eq!(table.choose(Millis(0), &prompt).expect("one").upstream.as_str(), "w4");
+        let load = Load { running: 7, waiting: 0, cache: 0 };
+        table.observe(Millis(0), Announcement { load, slots: 8, ..says("w4", 1, 4) });
+        assert_ne!(table.choose(Millis(0), &prompt).expect("one").upstream.as_str(), "w4");
+    }
+
+    a_late_eviction_does_not_undo_a_newer_routing => {
+        let mut table = table(&["w1", "w2", "w3", "w4", "w5", "w6"]);
+        let prompt = Wanted { prefixes: vec![11], ..wanted() };
+        let first = table.choose(Millis(0), &prompt).expect("one");
+        table.end(Millis(1), first.attempt, Ended::Whole);
+        let name = first.upstream.as_str().to_owned();
+        table.observe(Millis(500), Announcement { evicted: vec![11], ..says(&name, 1, 3) });
+        let second = table.choose(Millis(500), &prompt).expect("one");
+        table.end(Millis(501), second.attempt, Ended::Whole);
+        assert_eq!(second.upstream, first.upstream);
+    }
+
+    pools_join_kinds_that_share_an_upstream => {
+        let mut table = table(&["w1"]);
+        let more = |names: &[&str]| {
+            let all = names.iter().map(|name| Loaded { model: Model::from(*name), adapter: None, version: 1 });
+            Offer::Models(all.collect())
+        };
+        table.observe(Millis(0), Announcement { offer: more(&["chat", "draft"]), ..says("w2", 1, 1) });
+        table.observe(Millis(0), Announcement { offer: more(&["other"]), ..says("w3", 1, 1) });
+        let mut pools: Vec<(usize, u32)> = table.pools(Millis(0), 1).iter().map(|pool| (pool.kinds.len(), pool.slots)).collect();
+        pools.sort_unstable();
+        assert_eq!(pools, vec![(1, SLOTS), (2, 2 * SLOTS)]);
+    }
+
+    news_go_out_once => {
+        let mut table = table(&["w1", "w2"]);
+        let peer = Host::from("r2");
+        let (cursor, news) = table.announcements_for(&peer, 0);
+        assert_eq!(news.len(), 2);
+        assert_eq!(table.announcements_for(&peer, cursor).1.len(), 0);
+        table.observe(Millis(1), says("w2", 1, 3));
+        let (_, news) = table.announcements_for(&peer, cursor);
+        assert_eq!(news.len(), 1);
+    }
+
+    many_upstreams_are_shared_out_and_a_leave_goes_to_all => {
+        let hosts: Vec<Host> = (0..37).map(|n| Host::from(format!("r{n}"))).collect();
+        let mut table = Table::new(DataCentre::from("a"));
+        table.peers(hosts.clone());
+        let names: Vec<String> = (0..453).map(|n| format!("w{n}")).collect();
+        for name in &names {
+            table.observe(Millis(0), says(name, 1, 1));
+        }
+        let counts: Vec<usize> = hosts.iter().map(|host| table.announcements_for(host, 0).1.len()).collect();
+        assert_eq!(counts.iter().sum::<usize>(), 453 * Rules::default().copies);
+        assert!(counts.iter().all(|count| (15..=70).contains(count)), "{counts:?}");
+        let (cursor, _) = table.announcements_for(&hosts[0], 0);
+        table.observe(Millis(1), leaves("w7", 1, 2));
+        assert!(hosts.iter().all(|host| table.announcements_for(host, cursor).1.len() == 1));
+    }
+
+    a_lost_router_moves_only_its_upstreams => {
+        let hosts: Vec<Host> = (0..37).map(|n| Host::from(format!("r{n}"))).collect();
+        let before = Keepers::new(hosts.clone());
+        let after = Keepers::new(hosts[1..].iter().cloned());
+        for n in 0..453 {
+            let upstream = Upstream::from(format!("w{n}"));
+            let kept = hosts[1..].iter().filter(|host| before.keeps(host, &upstream, 3));
+            assert!(kept.into_iter().all(|host| after.keeps(host, &upstream, 3)));
+        }
+    }
+}
