--- a/crates/core/src/upstream/row.rs
+++ b/crates/core/src/upstream/row.rs
@@ -122,6 +122,13 @@
         self.breaker.success(now);
     }
 
+    /// It gave a whole answer. That says nothing of whether it leaves, nor of a break that came
+    /// after the last byte was sent, so it stays as stale as it was.
+    pub fn worked(&mut self, now: Millis) {
+        self.silent = false;
+        self.breaker.success(now);
+    }
+
     pub fn offers(&self, kind: &Kind) -> bool {
         match (&self.said.offer, kind) {
             (Offer::Models(all), Kind::Model(model, adapter)) => all
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -289,7 +289,7 @@
         row.flying = row.flying.saturating_sub(1);
         row.marked = row.marked.saturating_sub(u32::from(flight.marked));
         match ended {
-            Ended::Whole => row.breaker.success(now),
+            Ended::Whole => row.worked(now),
             Ended::Overload => row.breaker.overload(now, &self.rules),
             Ended::Unreachable | Ended::Broken | Ended::Late => {
                 row.doubt = true;
