--- a/crates/core/src/order/mod.rs
+++ b/crates/core/src/order/mod.rs
@@ -1,6 +1,7 @@
 //! Orders to upstreams: who gives them, and under which fencing number.
 
 pub mod giver;
+pub mod lease;
 pub mod placement;
 pub mod rate;
 
