Stand-in upstreams, TOML files with line errors, collecting a configuration

A stand-in engine (chat as JSON and SSE, resume, cancel, orders, load) and a plain service (reserve, release, stock), with switchable faults. Settings and configuration files are read by one reader, which names file, line and the nearest known key. The check of the configuration as a whole follows with the core's.

--- a/crates/core/src/config/error.rs
+++ b/crates/core/src/config/error.rs
@@ -56,7 +56,7 @@
 }
 
 /// Kind of a table in the configuration.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Kind {
     /// A workspace.
     Workspace,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,11 +5,14 @@
 //! - [`settings`]: one TOML file for each process.
 //! - [`timer`]: the one source of time that parts subscribe to.
 //! - [`edges`]: what touches the world outside a process: HTTP, RPC, disk.
+//! - [`file`], [`publish`]: TOML files, and the configuration that is collected from them.
 //! - [`filters`]: the chain that each caller's request passes through.
 //! - [`controllers`]: actors that drive the pure decisions of `chestnutnotch-core`.
 
 pub mod controllers;
 pub mod edges;
+pub mod file;
 pub mod filters;
+pub mod publish;
 pub mod settings;
 pub mod timer;
--- /dev/null
+++ b/crates/standin/src/announce.rs
@@ -0,0 +1,69 @@
+//! Announces a stand-in to the routers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutnotch_core::upstream::Phase;
+use http::Method;
+use http::Request;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+
+use crate::server::Shared;
+
+const TIMEOUT: Duration = Duration::from_millis(2_000);
+const LEAVING_PERIOD: Duration = Duration::from_millis(100);
+
+/// Announces for ever: regularly, and at once when the phase changes.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let period = Duration::from_millis(shared.settings.announce);
+    let mut phase = shared.phase.subscribe();
+    loop {
+        if !shared.faults().silent {
+            tell(&client, &shared).await;
+        }
+        let period = match *phase.borrow_and_update() {
+            Phase::Ready => period,
+            Phase::Leaving => period.min(LEAVING_PERIOD),
+        };
+        tokio::select! {
+            () = tokio::time::sleep(period) => {}
+            _ = phase.changed() => {}
+        }
+    }
+}
+
+async fn tell(client: &Client<HttpConnector, Full<Bytes>>, shared: &Shared) {
+    let body = serde_json::to_vec(&shared.announcement()).unwrap_or_default();
+    let body = Bytes::from(body);
+    let posts = shared
+        .settings
+        .routers
+        .iter()
+        .map(|router| post(client, *router, body.clone()));
+    futures_util::future::join_all(posts).await;
+}
+
+async fn post(client: &Client<HttpConnector, Full<Bytes>>, router: SocketAddr, body: Bytes) {
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{router}/v1/announce"))
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body));
+    let Ok(request) = request else {
+        return;
+    };
+    let sent = async {
+        let answer = client.request(request).await.ok()?;
+        answer.into_body().collect().await.ok()
+    };
+    // A router that does not answer hears the next announcement.
+    let _ = tokio::time::timeout(TIMEOUT, sent).await;
+}
