--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -48,22 +48,33 @@
         .routers
         .iter()
         .map(|router| post(client, *router, body.clone()));
-    futures_util::future::join_all(posts).await;
+    let heard = futures_util::future::join_all(posts).await;
+    if heard.contains(&true) {
+        shared.heard.send_replace(true);
+    }
 }
 
-async fn post(client: &Client<HttpConnector, Full<Bytes>>, router: SocketAddr, body: Bytes) {
+/// Returns whether the router took it.
+async fn post(
+    client: &Client<HttpConnector, Full<Bytes>>,
+    router: SocketAddr,
+    body: Bytes,
+) -> bool {
     let request = Request::builder()
         .method(Method::POST)
         .uri(format!("http://{router}/v1/announce"))
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(body));
     let Ok(request) = request else {
-        return;
+        return false;
     };
     let sent = async {
         let answer = client.request(request).await.ok()?;
-        answer.into_body().collect().await.ok()
+        let taken = answer.status().is_success();
+        // The body is read so that the connection can be used again.
+        let _ = answer.into_body().collect().await;
+        Some(taken)
     };
     // A router that does not answer hears the next announcement.
-    let _ = tokio::time::timeout(TIMEOUT, sent).await;
+    matches!(tokio::time::timeout(TIMEOUT, sent).await, Ok(Some(true)))
 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -70,6 +70,8 @@
     pub settings: Settings,
     /// Whether it takes new work.
     pub phase: watch::Sender<Phase>,
+    /// Whether a router has taken an announcement.
+    pub heard: watch::Sender<bool>,
     faults: Arc<Mutex<Faults>>,
     role: Role,
     address: SocketAddr,
@@ -105,6 +107,7 @@
             incarnation: Incarnation(settings.incarnation.unwrap_or_else(unix)),
             faults: Arc::new(Mutex::new(settings.faults.clone())),
             phase: watch::Sender::new(Phase::Ready),
+            heard: watch::Sender::new(false),
             seq: AtomicU64::new(0),
             overdue: AtomicU64::new(0),
             crash: Notify::new(),
@@ -120,6 +123,11 @@
         self.shared.address
     }
 
+    /// Turns true once a router has taken an announcement.
+    pub fn heard(&self) -> watch::Receiver<bool> {
+        self.shared.heard.subscribe()
+    }
+
     /// Serves until `stop`; then announces that it leaves, finishes what it has, and ends.
     pub async fn run(self, stop: impl Future<Output = ()> + Send) -> End {
         let mut tasks = JoinSet::new();
