--- /dev/null
+++ b/crates/fleet/src/controllers/config.rs
@@ -0,0 +1,206 @@
+//! The configuration in force at this router: the highest revision heard, indexed for lookups.
+
+use std::sync::Arc;
+
+use chestnutnotch_core::config::Accepted;
+use chestnutnotch_core::config::ModelSpec;
+use chestnutnotch_core::config::ServiceSpec;
+use chestnutnotch_core::config::WorkspaceSpec;
+use chestnutnotch_core::id::Model;
+use chestnutnotch_core::id::Service;
+use chestnutnotch_core::map::Map;
+use chestnutnotch_core::unit::Revision;
+use ractor::Actor;
+use ractor::ActorProcessingErr;
+use ractor::ActorRef;
+use ractor::SpawnErr;
+use sha2::Digest;
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+use tokio::sync::watch;
+
+use crate::edges::rpc::ControlClient;
+use crate::metrics::Metrics;
+
+const HASH_BYTES: usize = 32;
+
+/// A configuration with indexes over it.
+#[derive(Debug)]
+pub struct InForce {
+    accepted: Arc<Accepted>,
+    keys: Map<u64, Vec<KeyRow>>,
+    models: Map<Model, usize>,
+    services: Map<Service, usize>,
+}
+
+#[derive(Debug)]
+struct KeyRow {
+    hash: [u8; HASH_BYTES],
+    workspace: usize,
+}
+
+impl InForce {
+    /// Indexes a configuration. Key hashes that are not 64 hexadecimal digits admit nobody.
+    pub fn new(accepted: Arc<Accepted>) -> Self {
+        let document = &accepted.document;
+        let mut keys: Map<u64, Vec<KeyRow>> = Map::default();
+        for (workspace, spec) in document.workspaces.iter().enumerate() {
+            for hash in spec.keys.iter().filter_map(|key| decode(key)) {
+                let row = KeyRow { hash, workspace };
+                keys.entry(slot(&hash)).or_default().push(row);
+            }
+        }
+        let models = document.models.iter().enumerate();
+        let models = models.map(|(i, spec)| (spec.name.clone(), i)).collect();
+        let services = document.services.iter().enumerate();
+        let services = services.map(|(i, spec)| (spec.name.clone(), i)).collect();
+        Self {
+            accepted,
+            keys,
+            models,
+            services,
+        }
+    }
+
+    /// Its number.
+    pub fn revision(&self) -> Revision {
+        self.accepted.revision
+    }
+
+    /// The workspace that a bearer key belongs to. Hashes are compared in constant time; the index
+    /// shows at most a part of the hash of a guess, never of a stored key.
+    pub fn workspace(&self, key: &str) -> Option<&WorkspaceSpec> {
+        let hash: [u8; HASH_BYTES] = Sha256::digest(key.as_bytes()).into();
+        let rows = self.keys.get(&slot(&hash))?;
+        let row = rows.iter().find(|row| row.hash.ct_eq(&hash).into())?;
+        self.accepted.document.workspaces.get(row.workspace)
+    }
+
+    /// A model, if the workspace may use it.
+    pub fn model(&self, workspace: &WorkspaceSpec, model: &Model) -> Option<&ModelSpec> {
+        if !workspace.models.is_empty() && !workspace.models.contains(model) {
+            return None;
+        }
+        let index = *self.models.get(model)?;
+        self.accepted.document.models.get(index)
+    }
+
+    /// A plain service, if the workspace may call it.
+    pub fn service(&self, workspace: &WorkspaceSpec, service: &str) -> Option<&ServiceSpec> {
+        let open = workspace.services.is_empty();
+        if !open && !workspace.services.iter().any(|s| s.as_str() == service) {
+            return None;
+        }
+        let index = *self.services.get(service)?;
+        self.accepted.document.services.get(index)
+    }
+}
+
+fn slot(hash: &[u8; HASH_BYTES]) -> u64 {
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash[..8]);
+    u64::from_le_bytes(first)
+}
+
+fn decode(hex: &str) -> Option<[u8; HASH_BYTES]> {
+    let digits = hex.as_bytes();
+    if digits.len() != 2 * HASH_BYTES {
+        return None;
+    }
+    let mut hash = [0; HASH_BYTES];
+    for (byte, pair) in hash.iter_mut().zip(digits.chunks_exact(2)) {
+        let high = char::from(pair[0]).to_digit(16)?;
+        let low = char::from(pair[1]).to_digit(16)?;
+        *byte = (high << 4 | low) as u8;
+    }
+    Some(hash)
+}
+
+/// A handle on the configuration in force. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Config {
+    current: watch::Receiver<Option<Arc<InForce>>>,
+}
+
+impl Config {
+    /// Starts the actor, which follows the control replicas.
+    ///
+    /// # Errors
+    ///
+    /// If the actor does not start.
+    pub async fn start(control: ControlClient, metrics: Arc<Metrics>) -> Result<Self, SpawnErr> {
+        let (tx, current) = watch::channel(None);
+        let mut source = control.watch();
+        let state = State { tx, metrics };
+        let (actor, _) = Actor::spawn(None, ConfigActor, state).await?;
+        tokio::spawn(async move {
+            loop {
+                let news = source.borrow_and_update().clone();
+                if let Some(accepted) = news
+                    && actor.cast(Heard(accepted)).is_err()
+                {
+                    return;
+                }
+                if source.changed().await.is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(Self { current })
+    }
+
+    /// The configuration in force; none until a quorum has confirmed one.
+    pub fn current(&self) -> Option<Arc<InForce>> {
+        self.current.borrow().clone()
+    }
+
+    /// Waits for the first configuration.
+    pub async fn ready(&self) {
+        let mut current = self.current.clone();
+        // An actor that ended sends nothing more; then there is nothing to wait for.
+        let _ = current.wait_for(Option::is_some).await;
+    }
+}
+
+struct ConfigActor;
+
+struct Heard(Arc<Accepted>);
+
+struct State {
+    tx: watch::Sender<Option<Arc<InForce>>>,
+    metrics: Arc<Metrics>,
+}
+
+impl Actor for ConfigActor {
+    type Msg = Heard;
+    type State = State;
+    type Arguments = State;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Heard>,
+        state: State,
+    ) -> Result<State, ActorProcessingErr> {
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Heard>,
+        heard: Heard,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        let revision = heard.0.revision;
+        let newer = match state.tx.borrow().as_ref() {
+            Some(current) => revision > current.revision(),
+            None => true,
+        };
+        if !newer {
+            return Ok(());
+        }
+        state.tx.send_replace(Some(Arc::new(InForce::new(heard.0))));
+        state.metrics.revision.set(revision.0 as i64);
+        log::info!("revision {revision} is in force");
+        Ok(())
+    }
+}
--- a/crates/fleet/src/controllers/mod.rs
+++ b/crates/fleet/src/controllers/mod.rs
@@ -1,3 +1,10 @@
 //! Actors that drive the pure decisions of `chestnutnotch-core`.
 
+pub mod abandoned;
+pub mod allotment;
+pub mod bills;
+pub mod config;
+pub mod lifecycle;
 pub mod replica;
+pub mod ticks;
+pub mod upstreams;
--- /dev/null
+++ b/crates/fleet/src/filters/refusal.rs
@@ -0,0 +1,270 @@
+//! Refusals: every request that gets no answer of its own gets one of these.
+
+use bytes::Bytes;
+use chestnutnotch_core::id::Model;
+use chestnutnotch_core::id::Service;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::edges::http::ReplyBody;
+
+/// Whether a refused request ran at an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    /// No byte of it reached an upstream that worked on it.
+    NotRun,
+    /// It was sent, and whether it ran is not known.
+    Unknown,
+    /// It ran, wholly or in part.
+    Ran,
+}
+
+/// What is wrong with a request.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum Malformed {
+    /// The body is not JSON of the expected form.
+    #[error("the body is not a chat request in JSON")]
+    Json,
+    /// There are no messages.
+    #[error("messages is empty")]
+    NoMessages,
+    /// A content part is not text.
+    #[error("only text content is served")]
+    Content,
+    /// More than one choice is asked for.
+    #[error("only one choice is served")]
+    Choices,
+    /// Tools are only served as a stream.
+    #[error("tools are served only with stream set to true")]
+    Tools,
+    /// The output limit is zero or not a number.
+    #[error("max_tokens has to be a whole number above zero")]
+    Limit,
+    /// The idempotency key has a bad form.
+    #[error("Idempotency-Key has to be 1 to 128 visible ASCII characters")]
+    Key,
+    /// The body did not arrive whole.
+    #[error("the body did not arrive whole")]
+    Body,
+    /// An announcement is not JSON of the expected form.
+    #[error("the body is not an announcement in JSON")]
+    Announcement,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Debug, Error)]
+pub enum Refusal {
+    /// No bearer key, or none that is configured.
+    #[error("the bearer key is missing or not known")]
+    UnknownKey,
+    /// The model is not configured for the workspace.
+    #[error("no model named {0} is configured for this workspace")]
+    UnknownModel(Model),
+    /// The service is not configured for the workspace.
+    #[error("no service named {0} is configured for this workspace")]
+    UnknownService(Service),
+    /// Nothing is served at the path.
+    #[error("nothing is served here")]
+    UnknownPath,
+    /// The path is served with another method.
+    #[error("this path is served with method {0}")]
+    BadMethod(&'static str),
+    /// The request has a bad form.
+    #[error("{0}")]
+    Malformed(#[from] Malformed),
+    /// The body is larger than the bound, in bytes.
+    #[error("the body is larger than {0} bytes")]
+    TooLarge(usize),
+    /// The idempotency key was used with another body.
+    #[error("the idempotency key was used with another body")]
+    KeyReused,
+    /// The service requires an idempotency key.
+    #[error("this service requires an Idempotency-Key header")]
+    KeyRequired,
+    /// The budget as a whole can't pay for the worst case.
+    #[error("the prepaid budget can't cover the worst case of this request")]
+    BudgetSpent,
+    /// The ledger did not grant enough in time.
+    #[error("the router's part of the budget is used up for now")]
+    AllotmentShort,
+    /// The router has no confirmed configuration yet.
+    #[error("the router is starting")]
+    Starting,
+    /// The router is stopping.
+    #[error("the router is stopping")]
+    Stopping,
+    /// No control quorum answers.
+    #[error("no control quorum answers")]
+    NoQuorum,
+    /// No upstream offers what is wanted.
+    #[error("no usable upstream serves this")]
+    NoUpstream,
+    /// All upstreams that offer it are full.
+    #[error("all upstreams that serve this are full")]
+    Overloaded,
+    /// The request crashed upstreams before.
+    #[error("this request stopped upstreams that ran it; it is not run again")]
+    Quarantined {
+        /// Seconds until it may be tried again.
+        after: u64,
+        /// Whether this submission of it ran.
+        ran: Ran,
+    },
+    /// Every attempt failed.
+    #[error("every attempt at an upstream failed")]
+    Failed(Ran),
+    /// The upstream refused the request as bad.
+    #[error("the upstream refused the request with status {0}")]
+    Rejected(u16),
+    /// The deadline passed.
+    #[error("no whole answer in time")]
+    Deadline(Ran),
+    /// The answer is whole, but its bill could not be made safe.
+    #[error("the answer's bill could not be stored in time")]
+    BillUnsafe,
+    /// A non-idempotent call whose end is not known.
+    #[error("the call was sent and its outcome is not known; it is not sent again")]
+    OutcomeUnknown,
+    /// A non-idempotent call that runs, or may run, now.
+    #[error("a call with this idempotency key is running")]
+    CallRunning,
+}
+
+const SOON_SECONDS: u64 = 1;
+const LATER_SECONDS: u64 = 5;
+const SPENT_SECONDS: u64 = 60;
+
+impl Refusal {
+    /// The stable code of the refusal.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Self::UnknownKey => "unknown_key",
+            Self::UnknownModel(_) => "unknown_model",
+            Self::UnknownService(_) => "unknown_service",
+            Self::UnknownPath => "unknown_path",
+            Self::BadMethod(_) => "bad_method",
+            Self::Malformed(Malformed::Key) => "bad_header",
+            Self::Malformed(_) => "malformed",
+            Self::TooLarge(_) => "too_large",
+            Self::KeyReused => "key_reused",
+            Self::KeyRequired => "key_required",
+            Self::BudgetSpent => "budget_spent",
+            Self::AllotmentShort => "allotment_short",
+            Self::Starting => "starting",
+            Self::Stopping => "stopping",
+            Self::NoQuorum => "no_quorum",
+            Self::NoUpstream => "no_upstream",
+            Self::Overloaded => "overloaded",
+            Self::Quarantined { .. } => "quarantined",
+            Self::Failed(_) => "upstream_failed",
+            Self::Rejected(_) => "upstream_rejected",
+            Self::Deadline(_) => "deadline",
+            Self::BillUnsafe => "bill_unsafe",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::CallRunning => "call_running",
+        }
+    }
+
+    /// The HTTP status, if no part of an answer was sent yet.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::UnknownModel(_) | Self::UnknownService(_) | Self::UnknownPath => {
+                StatusCode::NOT_FOUND
+            }
+            Self::BadMethod(_) => StatusCode::METHOD_NOT_ALLOWED,
+            Self::Malformed(_) | Self::KeyRequired => StatusCode::BAD_REQUEST,
+            Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::KeyReused | Self::Quarantined { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::BudgetSpent | Self::AllotmentShort => StatusCode::TOO_MANY_REQUESTS,
+            Self::Starting
+            | Self::Stopping
+            | Self::NoQuorum
+            | Self::NoUpstream
+            | Self::Overloaded
+            | Self::BillUnsafe => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Failed(_) | Self::Rejected(_) | Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Self::Deadline(_) => StatusCode::GATEWAY_TIMEOUT,
+            Self::CallRunning => StatusCode::CONFLICT,
+        }
+    }
+
+    /// Whether the refused request ran.
+    pub fn ran(&self) -> Ran {
+        match self {
+            Self::Failed(ran) | Self::Deadline(ran) | Self::Quarantined { ran, .. } => *ran,
+            Self::BillUnsafe => Ran::Ran,
+            Self::OutcomeUnknown | Self::CallRunning | Self::KeyReused => Ran::Unknown,
+            _ => Ran::NotRun,
+        }
+    }
+
+    /// Seconds after which a resend may be answered, if one may.
+    pub fn retry_after(&self) -> Option<u64> {
+        match self {
+            Self::BudgetSpent => Some(SPENT_SECONDS),
+            Self::NoQuorum | Self::NoUpstream => Some(LATER_SECONDS),
+            Self::Quarantined { after, .. } => Some(*after),
+            Self::AllotmentShort
+            | Self::Starting
+            | Self::Stopping
+            | Self::Overloaded
+            | Self::Failed(_)
+            | Self::Deadline(_)
+            | Self::BillUnsafe
+            | Self::CallRunning => Some(SOON_SECONDS),
+            _ => None,
+        }
+    }
+
+    /// The refusal as JSON.
+    pub fn json(&self) -> Bytes {
+        let error = ErrorBody {
+            code: self.code(),
+            message: self.to_string(),
+            ran: self.ran(),
+            retry_after: self.retry_after(),
+        };
+        // Serialising these plain fields can't fail; an empty body would still carry the status.
+        serde_json::to_vec(&Envelope { error })
+            .unwrap_or_default()
+            .into()
+    }
+
+    /// The refusal as an HTTP answer.
+    pub fn response(&self) -> Response<ReplyBody> {
+        let mut response = Response::new(ReplyBody::whole(self.json()));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        if let Some(seconds) = self.retry_after() {
+            headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        if matches!(self, Self::Stopping) {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+#[derive(Serialize)]
+struct Envelope {
+    error: ErrorBody,
+}
+
+#[derive(Serialize)]
+struct ErrorBody {
+    code: &'static str,
+    message: String,
+    ran: Ran,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after: Option<u64>,
+}
--- /dev/null
+++ b/crates/fleet/src/metrics.rs
@@ -0,0 +1,141 @@
+//! Counters of every decision. Labels are closed sets of short words.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// How something ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct ResultLabel {
+    /// A word out of a closed set.
+    pub result: &'static str,
+}
+
+/// A counter for each way in which something ends.
+#[derive(Clone, Debug, Default)]
+pub struct Results(Family<ResultLabel, Counter>);
+
+impl Results {
+    /// Counts one.
+    pub fn add(&self, result: &'static str) {
+        self.add_many(result, 1);
+    }
+
+    /// Counts several.
+    pub fn add_many(&self, result: &'static str, count: u64) {
+        self.0
+            .get_or_create(&ResultLabel { result })
+            .inc_by(count);
+    }
+}
+
+/// Metrics of a router.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by their end: `served` or the code of the refusal.
+    pub requests: Results,
+    /// Attempts at upstreams by their end.
+    pub attempts: Results,
+    /// Second and later attempts of one request, by what became of them.
+    pub retries: Results,
+    /// Bills by what became of them.
+    pub bills: Results,
+    /// Reports to the ledger.
+    pub draws: Results,
+    /// Reservations: made at once, after a wait, or not.
+    pub reservations: Results,
+    /// Tokens: billed or wasted.
+    pub tokens: Results,
+    /// Resumed streams.
+    pub resumes: Results,
+    /// Cancelled attempts.
+    pub cancels: Results,
+    /// Claims of non-idempotent calls.
+    pub claims: Results,
+    /// Requests with a key that this router knew.
+    pub known: Results,
+    /// Announcements heard.
+    pub announcements: Results,
+    /// Messages between routers.
+    pub spreads: Results,
+    /// Requests in flight.
+    pub flying: Gauge,
+    /// Attempts with an unknown end.
+    pub unknown: Gauge,
+    /// Revision in force.
+    pub revision: Gauge,
+}
+
+impl Metrics {
+    /// Metrics that start at zero.
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("chestnutnotch"),
+            requests: Results::default(),
+            attempts: Results::default(),
+            retries: Results::default(),
+            bills: Results::default(),
+            draws: Results::default(),
+            reservations: Results::default(),
+            tokens: Results::default(),
+            resumes: Results::default(),
+            cancels: Results::default(),
+            claims: Results::default(),
+            known: Results::default(),
+            announcements: Results::default(),
+            spreads: Results::default(),
+            flying: Gauge::default(),
+            unknown: Gauge::default(),
+            revision: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let counters = [
+            ("requests", "Requests by their end", &self.requests),
+            ("attempts", "Attempts by their end", &self.attempts),
+            ("retries", "Further attempts of one request", &self.retries),
+            ("bills", "Bills by what became of them", &self.bills),
+            ("draws", "Reports to the ledger", &self.draws),
+            ("reservations", "Reservations", &self.reservations),
+            ("tokens", "Tokens billed and wasted", &self.tokens),
+            ("resumes", "Resumed streams", &self.resumes),
+            ("cancels", "Cancelled attempts", &self.cancels),
+            ("claims", "Claims of non-idempotent calls", &self.claims),
+            ("known", "Requests with a known key", &self.known),
+            ("announcements", "Announcements", &self.announcements),
+            ("spreads", "Messages between routers", &self.spreads),
+        ];
+        for (name, help, results) in counters {
+            self.registry.register(name, help, results.0.clone());
+        }
+        let gauges = [
+            ("requests_in_flight", "Requests in flight", &self.flying),
+            ("attempts_unknown", "Attempts with unknown end", &self.unknown),
+            ("revision_in_force", "Revision in force", &self.revision),
+        ];
+        for (name, help, gauge) in gauges {
+            self.registry.register(name, help, gauge.clone());
+        }
+    }
+
+    /// The metrics in the text form that collectors read.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if prometheus_client::encoding::text::encode(&mut text, &self.registry).is_err() {
+            text.clear();
+        }
+        text
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
