--- /dev/null
+++ b/crates/fleet/src/filters/forward.rs
@@ -0,0 +1,527 @@
+//! Runs one chat: reserves, chooses, forwards, retries, bills.
+//!
+//! This is the one owner of retries. The task outlives the caller's connection, so that every
+//! attempt ends in a bill, a release or a cancel.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutnotch_core::command::Bill;
+use chestnutnotch_core::config::ModelSpec;
+use chestnutnotch_core::id::Holder;
+use chestnutnotch_core::id::Upstream;
+use chestnutnotch_core::ledger::Reservation;
+use chestnutnotch_core::limit::Patience;
+use chestnutnotch_core::limit::Progress;
+use chestnutnotch_core::unit::Millis;
+use chestnutnotch_core::unit::Tokens;
+use chestnutnotch_core::upstream::Ended;
+use chestnutnotch_core::upstream::Kind;
+use chestnutnotch_core::upstream::Pick;
+use chestnutnotch_core::upstream::Wanted;
+use http::StatusCode;
+
+use crate::controllers::abandoned::Orphan;
+use crate::controllers::bills::Due;
+use crate::edges::http::SendError;
+use crate::filters::Chain;
+use crate::filters::attempt::Finish;
+use crate::filters::attempt::OpenError;
+use crate::filters::attempt::Passed;
+use crate::filters::attempt::ReadFault;
+use crate::filters::attempt::Reader;
+use crate::filters::attempt::Source;
+use crate::filters::identify::Caller;
+use crate::filters::identify::Identity;
+use crate::filters::known::Lease;
+use crate::filters::output::Form;
+use crate::filters::output::Gone;
+use crate::filters::output::Output;
+use crate::filters::parse::Chat;
+use crate::filters::refusal::Ran;
+use crate::filters::refusal::Refusal;
+use crate::filters::render;
+use crate::timer::jitter;
+
+const ATTEMPTS: u32 = 3;
+const RESUMES: u32 = 2;
+const RESUME_PAUSE: Duration = Duration::from_millis(40);
+const FAIL_WITHIN: Duration = Duration::from_secs(2);
+const FIND_WITHIN: Duration = Duration::from_millis(50);
+
+/// One chat on its way.
+pub struct Run {
+    chain: Arc<Chain>,
+    caller: Caller,
+    identity: Identity,
+    chat: Chat,
+    spec: ModelSpec,
+    deadline: Millis,
+    output: Output,
+    lease: Lease,
+    passed: Passed,
+    tried: Vec<Upstream>,
+    ran: Ran,
+}
+
+/// Why a chat ends without a whole answer.
+enum Stop {
+    Gone,
+    Refused(Refusal),
+}
+
+impl From<Refusal> for Stop {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+impl From<Gone> for Stop {
+    fn from(_: Gone) -> Self {
+        Self::Gone
+    }
+}
+
+/// Why an attempt did not give a whole answer.
+enum Miss {
+    /// Another upstream may be tried.
+    Again(Refusal),
+    /// The end of the chat.
+    Stop(Stop),
+}
+
+/// An attempt that an upstream may be working on.
+struct Open {
+    pick: Pick,
+    held: Reservation,
+    id: Arc<str>,
+}
+
+/// How the reading of a stream ended.
+enum Relayed {
+    Whole(Finish),
+    Gone,
+    Late,
+    Fault(ReadFault),
+}
+
+/// What [`Run`] is built from.
+pub struct Parts {
+    /// Whose chat.
+    pub caller: Caller,
+    /// Which chat.
+    pub identity: Identity,
+    /// The chat.
+    pub chat: Chat,
+    /// Its model.
+    pub spec: ModelSpec,
+    /// When the answer has to be whole, by the timer's clock.
+    pub deadline: Millis,
+    /// The caller's side.
+    pub output: Output,
+    /// The right to run it.
+    pub lease: Lease,
+}
+
+impl Run {
+    /// A chat that has not begun.
+    pub fn new(chain: Arc<Chain>, parts: Parts) -> Self {
+        Self {
+            chain,
+            caller: parts.caller,
+            identity: parts.identity,
+            chat: parts.chat,
+            spec: parts.spec,
+            deadline: parts.deadline,
+            output: parts.output,
+            lease: parts.lease,
+            passed: Passed::default(),
+            tried: Vec::new(),
+            ran: Ran::NotRun,
+        }
+    }
+
+    /// Runs it to its end.
+    pub async fn run(mut self) {
+        let outcome = self.serve().await;
+        let requests = &self.chain.metrics.requests;
+        match outcome {
+            Ok(last) => {
+                requests.add("served");
+                let left = self.left();
+                let finish = self.output.finish(last);
+                if let Ok(Some(answer)) = tokio::time::timeout(left, finish).await {
+                    self.lease.finish(answer);
+                }
+            }
+            Err(Stop::Gone) => requests.add("caller_gone"),
+            Err(Stop::Refused(refusal)) => {
+                requests.add(refusal.code());
+                // A caller that does not read is not waited for.
+                let _ = tokio::time::timeout(FAIL_WITHIN, self.output.fail(&refusal)).await;
+            }
+        }
+    }
+
+    /// Gives the end of a whole answer whose bill is safe.
+    async fn serve(&mut self) -> Result<Bytes, Stop> {
+        self.check_bill().await?;
+        let first = self.reserve().await?;
+        let mut held = Some(first);
+        self.chain.retries().first(self.chain.timer.now());
+        for number in 1.. {
+            let reservation = match held.take() {
+                Some(reservation) => reservation,
+                None => self.reserve().await?,
+            };
+            let refusal = match self.attempt(reservation).await {
+                Ok((finish, open)) => return self.conclude(finish, open).await,
+                Err(Miss::Stop(stop)) => return Err(stop),
+                Err(Miss::Again(refusal)) => refusal,
+            };
+            if number >= ATTEMPTS || !self.may_retry() {
+                return Err(refusal.into());
+            }
+        }
+        Err(Refusal::Failed(self.ran).into())
+    }
+
+    /// Looks for an earlier bill under a key that the caller chose: with another body, the key was
+    /// reused. With the same body the chat runs again and adds no second bill.
+    async fn check_bill(&self) -> Result<(), Refusal> {
+        if !self.identity.chosen {
+            return Ok(());
+        }
+        let found = self.chain.control.bill(&self.identity.id, FIND_WITHIN).await;
+        match found {
+            Ok(Some(bill)) if bill.body != self.chat.body => Err(Refusal::KeyReused),
+            Ok(Some(_)) => {
+                self.chain.metrics.known.add("billed_before");
+                Ok(())
+            }
+            Ok(None) | Err(_) => Ok(()),
+        }
+    }
+
+    async fn reserve(&mut self) -> Result<Reservation, Stop> {
+        let chain = Arc::clone(&self.chain);
+        let worst = self.chat.prompt + self.limit();
+        let budget = self.caller.budget.clone();
+        let reserving = chain.allotment.reserve(&budget, worst, self.deadline);
+        tokio::select! {
+            held = reserving => Ok(held.map_err(|refusal| self.truthful(refusal))?),
+            () = self.output.gone() => Err(Stop::Gone),
+        }
+    }
+
+    fn limit(&self) -> Tokens {
+        let most = self.spec.limit;
+        self.chat.limit.map_or(most, |limit| limit.min(most))
+    }
+
+    /// A refusal before any attempt stands; after one that may have run it must not say "not run".
+    fn truthful(&self, refusal: Refusal) -> Refusal {
+        match self.ran {
+            Ran::NotRun => refusal,
+            ran => Refusal::Failed(ran),
+        }
+    }
+
+    fn may_retry(&mut self) -> bool {
+        if self.left().is_zero() || self.passed.overflow {
+            return false;
+        }
+        let granted = self.chain.retries().take(self.chain.timer.now());
+        let result = if granted { "granted" } else { "no_budget" };
+        self.chain.metrics.retries.add(result);
+        granted
+    }
+
+    async fn attempt(&mut self, held: Reservation) -> Result<(Finish, Open), Miss> {
+        let wanted = Wanted {
+            kind: Kind::Model(self.chat.model.clone(), self.chat.adapter.clone()),
+            priority: self.spec.priority,
+            prefixes: Vec::new(),
+            body: self.chat.body,
+            avoid: self.tried.clone(),
+        };
+        let pick = match self.chain.pick(&wanted, self.ran).await {
+            Ok(pick) => pick,
+            Err(refusal) => {
+                self.chain.allotment.release(held, Tokens::ZERO);
+                return Err(Miss::Stop(self.truthful(refusal).into()));
+            }
+        };
+        self.tried.push(pick.upstream.clone());
+        let id = format!("{}-{}", self.chain.router, pick.attempt).into();
+        let open = Open { pick, held, id };
+        if self.output.form() == Form::Json {
+            self.passed = Passed::default();
+        }
+        let progress = Progress::started(self.chain.timer.now(), self.patience());
+        let (source, open) = self.open(open).await?;
+        self.ran = Ran::Unknown;
+        self.read(source, open, progress).await
+    }
+
+    fn patience(&self) -> Patience {
+        Patience {
+            first: self.spec.first,
+            between: self.spec.between,
+            whole: self.spec.whole,
+        }
+    }
+
+    async fn open(&mut self, open: Open) -> Result<(Source, Open), Miss> {
+        let chain = Arc::clone(&self.chain);
+        let body = self.chat.upstream_body(self.limit(), self.spec.priority);
+        let within = self.left().min(Duration::from_millis(self.spec.first.0));
+        let id = Arc::clone(&open.id);
+        let opening = Source::open(&chain.client, open.pick.address, &id, body, within);
+        tokio::pin!(opening);
+        loop {
+            tokio::select! {
+                opened = &mut opening => {
+                    return match opened {
+                        Ok(source) => Ok((source, open)),
+                        Err(error) => Err(self.not_opened(open, &error)),
+                    };
+                }
+                () = self.output.gone() => {
+                    if self.lease.joined() {
+                        self.output.detach();
+                        continue;
+                    }
+                    self.abandon(open, Ended::Neutral);
+                    return Err(Miss::Stop(Stop::Gone));
+                }
+            }
+        }
+    }
+
+    fn not_opened(&mut self, open: Open, error: &OpenError) -> Miss {
+        match error {
+            OpenError::Send(SendError::Unreachable) => {
+                self.unsent(open, Ended::Unreachable);
+                Miss::Again(Refusal::Failed(self.ran))
+            }
+            OpenError::Send(SendError::Malformed(_)) => {
+                self.unsent(open, Ended::Neutral);
+                Miss::Stop(Refusal::Failed(self.ran).into())
+            }
+            OpenError::Send(SendError::Broken) => self.lost(open, Ended::Broken),
+            OpenError::Send(SendError::Late) => self.lost(open, Ended::Late),
+            OpenError::Status(status) => self.refused(open, *status),
+        }
+    }
+
+    fn refused(&mut self, open: Open, status: StatusCode) -> Miss {
+        match status {
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                self.unsent(open, Ended::Overload);
+                Miss::Again(self.truthful(Refusal::Overloaded))
+            }
+            StatusCode::NOT_FOUND => {
+                self.unsent(open, Ended::Neutral);
+                Miss::Again(self.truthful(Refusal::NoUpstream))
+            }
+            status if status.is_client_error() => {
+                self.unsent(open, Ended::Neutral);
+                Miss::Stop(self.truthful(Refusal::Rejected(status.as_u16())).into())
+            }
+            _ => self.lost(open, Ended::Broken),
+        }
+    }
+
+    /// Ends an attempt that no upstream works on.
+    fn unsent(&self, open: Open, ended: Ended) {
+        self.chain.upstreams.end(open.pick.attempt, ended);
+        self.chain.allotment.release(open.held, Tokens::ZERO);
+    }
+
+    /// Ends an attempt with an unknown end.
+    fn lost(&mut self, open: Open, ended: Ended) -> Miss {
+        self.ran = if self.passed.tokens > 0 { Ran::Ran } else { Ran::Unknown };
+        self.abandon(open, ended);
+        if self.left().is_zero() {
+            return Miss::Stop(Refusal::Deadline(self.ran).into());
+        }
+        Miss::Again(Refusal::Failed(self.ran))
+    }
+
+    fn abandon(&self, open: Open, ended: Ended) {
+        self.chain.upstreams.end(open.pick.attempt, ended);
+        self.chain.abandoned.add(Orphan {
+            held: open.held,
+            upstream: open.pick.upstream,
+            incarnation: open.pick.incarnation,
+            address: open.pick.address,
+            id: open.id,
+            tries: 0,
+        });
+    }
+
+    async fn read(
+        &mut self,
+        mut source: Source,
+        open: Open,
+        mut progress: Progress,
+    ) -> Result<(Finish, Open), Miss> {
+        let mut reader = Reader::new(Arc::clone(&open.id));
+        let mut resumes = 0;
+        loop {
+            let relayed = self.relay(&mut source, &mut reader, &mut progress).await;
+            match relayed {
+                Relayed::Whole(finish) => {
+                    source.drain();
+                    self.chain.upstreams.end(open.pick.attempt, Ended::Whole);
+                    return Ok((finish, open));
+                }
+                Relayed::Gone => {
+                    self.abandon(open, Ended::Neutral);
+                    return Err(Miss::Stop(Stop::Gone));
+                }
+                Relayed::Late => return Err(self.lost(open, Ended::Late)),
+                Relayed::Fault(ReadFault::Cut) if resumes < RESUMES => {
+                    resumes += 1;
+                    match self.resume(&open, &mut reader).await {
+                        Some(resumed) => source = resumed,
+                        None => return Err(self.lost(open, Ended::Broken)),
+                    }
+                }
+                Relayed::Fault(ReadFault::Diverged) => {
+                    self.chain.metrics.retries.add("diverged");
+                    self.ran = Ran::Ran;
+                    self.abandon(open, Ended::Neutral);
+                    return Err(Miss::Stop(Refusal::Failed(Ran::Ran).into()));
+                }
+                Relayed::Fault(_) => return Err(self.lost(open, Ended::Broken)),
+            }
+        }
+    }
+
+    /// Opens the rest of a broken stream on the same upstream.
+    async fn resume(&self, open: &Open, reader: &mut Reader) -> Option<Source> {
+        tokio::time::sleep(jitter(RESUME_PAUSE, &mut rand::rng())).await;
+        reader.rewind();
+        let within = self.left().min(Duration::from_millis(self.spec.between.0));
+        let client = &self.chain.client;
+        let address = open.pick.address;
+        let resumed = Source::resume(client, address, &open.id, reader.got(), within).await;
+        let result = if resumed.is_ok() { "resumed" } else { "refused" };
+        self.chain.metrics.resumes.add(result);
+        resumed.ok()
+    }
+
+    async fn relay(
+        &mut self,
+        source: &mut Source,
+        reader: &mut Reader,
+        progress: &mut Progress,
+    ) -> Relayed {
+        loop {
+            let due = progress.due().min(self.deadline);
+            let due = due.saturating_sub(self.chain.timer.now());
+            let next = tokio::select! {
+                biased;
+                next = source.next() => next,
+                () = self.output.gone() => {
+                    if self.lease.joined() {
+                        self.output.detach();
+                        continue;
+                    }
+                    return Relayed::Gone;
+                }
+                () = tokio::time::sleep(Duration::from_millis(due.0)) => return Relayed::Late,
+            };
+            let part = next.and_then(|whole| self.absorb(whole, reader, progress));
+            let part = match part {
+                Ok(part) => part,
+                Err(fault) => return Relayed::Fault(fault),
+            };
+            if let Some(stopped) = self.pass(part).await {
+                return stopped;
+            }
+            if let Some(mut finish) = reader.finish() {
+                finish.last = reader.renamed(finish.last, &self.passed);
+                return Relayed::Whole(finish);
+            }
+        }
+    }
+
+    fn absorb(
+        &mut self,
+        whole: Bytes,
+        reader: &mut Reader,
+        progress: &mut Progress,
+    ) -> Result<Bytes, ReadFault> {
+        let before = reader.got();
+        let part = reader.absorb(whole, &mut self.passed)?;
+        if reader.got() > before {
+            progress.token(self.chain.timer.now());
+        }
+        Ok(part)
+    }
+
+    async fn pass(&mut self, part: Bytes) -> Option<Relayed> {
+        if part.is_empty() || self.output.form() == Form::Json {
+            return None;
+        }
+        let left = self.left();
+        match tokio::time::timeout(left, self.output.pass(part)).await {
+            Ok(Ok(())) => None,
+            Ok(Err(Gone)) if self.lease.joined() => {
+                self.output.detach();
+                None
+            }
+            Ok(Err(Gone)) => Some(Relayed::Gone),
+            Err(_) => Some(Relayed::Late),
+        }
+    }
+
+    /// Has the bill made safe, and gives the end of the answer then.
+    async fn conclude(&mut self, finish: Finish, open: Open) -> Result<Bytes, Stop> {
+        let bill = self.bill(&finish, open.pick.attempt);
+        let saved = self.chain.bills.save(Due {
+            bill,
+            held: open.held,
+        });
+        let within = self.left();
+        match tokio::time::timeout(within, saved).await {
+            Ok(Ok(_)) => Ok(self.last(finish, &open.id)),
+            Ok(Err(_)) | Err(_) => Err(Refusal::BillUnsafe.into()),
+        }
+    }
+
+    fn bill(&self, finish: &Finish, attempt: u64) -> Bill {
+        let usage = finish.usage;
+        if usage.prompt > self.chat.prompt || usage.generated > self.limit() {
+            self.chain.metrics.tokens.add("over_bound");
+        }
+        Bill {
+            id: self.identity.id.clone(),
+            body: self.chat.body,
+            budget: self.caller.budget.clone(),
+            holder: Holder::Router(self.chain.router.clone()),
+            attempt,
+            prompt: usage.prompt.min(self.chat.prompt),
+            generated: usage.generated.min(self.limit()),
+        }
+    }
+
+    fn last(&mut self, finish: Finish, id: &str) -> Bytes {
+        match self.output.form() {
+            Form::Stream => finish.last,
+            Form::Json => {
+                self.passed.text.push_str(&finish.tail);
+                render::completion(id, &self.chat.model, &self.passed.text, &finish)
+            }
+        }
+    }
+
+    fn left(&self) -> Duration {
+        let left = self.deadline.saturating_sub(self.chain.timer.now());
+        Duration::from_millis(left.0)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/filters/identify.rs
@@ -0,0 +1,94 @@
+//! Finds out whose request it is, and its idempotency key.
+
+use chestnutnotch_core::id::Budget;
+use chestnutnotch_core::id::RequestId;
+use chestnutnotch_core::id::RequestKey;
+use chestnutnotch_core::id::Workspace;
+use http::HeaderMap;
+use http::header;
+use rand::RngExt;
+
+use crate::controllers::config::InForce;
+use crate::filters::refusal::Malformed;
+use crate::filters::refusal::Refusal;
+
+/// Header with the idempotency key, in requests and answers.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+const KEY_BYTES: usize = 128;
+
+/// Whose request it is.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// The workspace.
+    pub workspace: Workspace,
+    /// The budget that pays.
+    pub budget: Budget,
+    /// Share of the upstreams under load.
+    pub share: u32,
+}
+
+/// The identity of a request.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Workspace and key.
+    pub id: RequestId,
+    /// Whether the caller chose the key.
+    pub chosen: bool,
+}
+
+/// Finds the workspace of the bearer key.
+///
+/// # Errors
+///
+/// [`Refusal::UnknownKey`].
+pub fn caller(headers: &HeaderMap, config: &InForce) -> Result<Caller, Refusal> {
+    let value = headers.get(header::AUTHORIZATION);
+    let text = value.and_then(|value| value.to_str().ok());
+    let key = text.and_then(bearer).ok_or(Refusal::UnknownKey)?;
+    let spec = config.workspace(key).ok_or(Refusal::UnknownKey)?;
+    Ok(Caller {
+        workspace: spec.name.clone(),
+        budget: spec.budget.clone(),
+        share: spec.share,
+    })
+}
+
+fn bearer(text: &str) -> Option<&str> {
+    let (scheme, key) = text.split_once(' ')?;
+    scheme
+        .eq_ignore_ascii_case("bearer")
+        .then_some(key.trim())
+        .filter(|key| !key.is_empty())
+}
+
+/// The idempotency key of the request, or a new random one.
+///
+/// # Errors
+///
+/// [`Malformed::Key`].
+pub fn identity(headers: &HeaderMap, workspace: &Workspace) -> Result<Identity, Refusal> {
+    let Some(value) = headers.get(KEY_HEADER) else {
+        let key = format!("{:032x}", rand::rng().random::<u128>());
+        return Ok(Identity {
+            id: request(workspace, key.into()),
+            chosen: false,
+        });
+    };
+    let text = value.to_str().map_err(|_| Malformed::Key)?;
+    let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+    if text.is_empty() || text.len() > KEY_BYTES || !visible {
+        return Err(Malformed::Key.into());
+    }
+    Ok(Identity {
+        id: request(workspace, text.into()),
+        chosen: true,
+    })
+}
+
+fn request(workspace: &Workspace, key: RequestKey) -> RequestId {
+    RequestId {
+        workspace: workspace.clone(),
+        key,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/filters/parse.rs
@@ -0,0 +1,167 @@
+//! Reads a chat request and counts its worst case.
+
+use bytes::Bytes;
+use chestnutnotch_core::id::Fingerprint;
+use chestnutnotch_core::id::Model;
+use chestnutnotch_core::unit::Tokens;
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::filters::refusal::Malformed;
+
+/// Tokens that a chat template may add to each message.
+const MESSAGE_TOKENS: u64 = 16;
+/// Tokens that a chat template may add to each request.
+const REQUEST_TOKENS: u64 = 32;
+
+/// Fields that never reach the prompt.
+const PLAIN_FIELDS: [&str; 5] = ["model", "messages", "stream", "stream_options", "user"];
+
+/// A chat request as the caller sent it.
+#[derive(Debug)]
+pub struct Chat {
+    /// The model asked for.
+    pub model: Model,
+    /// Its adapter, if any.
+    pub adapter: Option<std::sync::Arc<str>>,
+    /// Whether the answer is streamed to the caller.
+    pub stream: bool,
+    /// Most generated tokens that the caller asks for.
+    pub limit: Option<Tokens>,
+    /// Bound on the prompt's tokens.
+    pub prompt: Tokens,
+    /// Hash of the body.
+    pub body: Fingerprint,
+    fields: Map<String, Value>,
+}
+
+impl Chat {
+    /// Reads a request.
+    ///
+    /// # Errors
+    ///
+    /// See [`Malformed`].
+    pub fn parse(body: &Bytes) -> Result<Self, Malformed> {
+        let fields: Map<String, Value> =
+            serde_json::from_slice(body).map_err(|_| Malformed::Json)?;
+        let model = fields.get("model").and_then(Value::as_str);
+        let model = model.ok_or(Malformed::Json)?;
+        let stream = flag(&fields, "stream")?;
+        single(&fields, "n")?;
+        single(&fields, "best_of")?;
+        if !stream && fields.contains_key("tools") {
+            return Err(Malformed::Tools);
+        }
+        Ok(Self {
+            model: model.into(),
+            adapter: text(&fields, "adapter")?,
+            stream,
+            limit: limit(&fields)?,
+            prompt: prompt(&fields)?,
+            body: Fingerprint::of(body),
+            fields,
+        })
+    }
+
+    /// The body for the upstream: always streamed, with usage and an explicit limit.
+    pub fn upstream_body(&self, limit: Tokens, priority: u8) -> Bytes {
+        let mut fields = self.fields.clone();
+        fields.remove("max_completion_tokens");
+        fields.insert("max_tokens".to_owned(), limit.0.into());
+        fields.insert("priority".to_owned(), priority.into());
+        fields.insert("stream".to_owned(), true.into());
+        let options = Map::from_iter([("include_usage".to_owned(), true.into())]);
+        fields.insert("stream_options".to_owned(), options.into());
+        // A map of JSON values always serialises; an empty body would be refused by the upstream.
+        serde_json::to_vec(&fields).unwrap_or_default().into()
+    }
+}
+
+fn flag(fields: &Map<String, Value>, name: &str) -> Result<bool, Malformed> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(set)) => Ok(*set),
+        Some(_) => Err(Malformed::Json),
+    }
+}
+
+fn text(
+    fields: &Map<String, Value>,
+    name: &str,
+) -> Result<Option<std::sync::Arc<str>>, Malformed> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(None),
+        Some(Value::String(text)) => Ok(Some(text.as_str().into())),
+        Some(_) => Err(Malformed::Json),
+    }
+}
+
+fn single(fields: &Map<String, Value>, name: &str) -> Result<(), Malformed> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(()),
+        Some(value) if value.as_u64() == Some(1) => Ok(()),
+        Some(_) => Err(Malformed::Choices),
+    }
+}
+
+fn limit(fields: &Map<String, Value>) -> Result<Option<Tokens>, Malformed> {
+    let mut least = None;
+    for name in ["max_tokens", "max_completion_tokens"] {
+        let value = match fields.get(name) {
+            None | Some(Value::Null) => continue,
+            Some(value) => value.as_u64().filter(|value| *value > 0),
+        };
+        let value = Tokens(value.ok_or(Malformed::Limit)?);
+        least = Some(least.map_or(value, |least: Tokens| least.min(value)));
+    }
+    Ok(least)
+}
+
+/// A tokenizer makes at most one token of each byte of text.
+fn prompt(fields: &Map<String, Value>) -> Result<Tokens, Malformed> {
+    let messages = fields.get("messages").and_then(Value::as_array);
+    let messages = messages.ok_or(Malformed::Json)?;
+    if messages.is_empty() {
+        return Err(Malformed::NoMessages);
+    }
+    let mut total = REQUEST_TOKENS;
+    for message in messages {
+        total += MESSAGE_TOKENS + message_bytes(message)?;
+    }
+    let others = fields
+        .iter()
+        .filter(|(name, _)| !PLAIN_FIELDS.contains(&name.as_str()));
+    for (name, value) in others {
+        if value.is_object() || value.is_array() || value.is_string() {
+            total += (name.len() + value.to_string().len()) as u64;
+        }
+    }
+    Ok(Tokens(total))
+}
+
+fn message_bytes(message: &Value) -> Result<u64, Malformed> {
+    let fields = message.as_object().ok_or(Malformed::Json)?;
+    let mut total = 0;
+    for (name, value) in fields {
+        total += match (name.as_str(), value) {
+            (_, Value::String(text)) => text.len() as u64,
+            ("content", Value::Array(parts)) => parts_bytes(parts)?,
+            (_, Value::Null) => 0,
+            (name, value) => (name.len() + value.to_string().len()) as u64,
+        };
+    }
+    Ok(total)
+}
+
+fn parts_bytes(parts: &[Value]) -> Result<u64, Malformed> {
+    let mut total = 0;
+    for part in parts {
+        let text = part.get("text").and_then(Value::as_str);
+        let kind = part.get("type").and_then(Value::as_str);
+        let (Some(text), Some("text")) = (text, kind) else {
+            return Err(Malformed::Content);
+        };
+        total += MESSAGE_TOKENS + text.len() as u64;
+    }
+    Ok(total)
+}
--- /dev/null
+++ b/crates/fleet/src/filters/render.rs
@@ -0,0 +1,61 @@
+//! The JSON form of a chat answer.
+
+use bytes::Bytes;
+use chestnutnotch_core::id::Model;
+use chestnutnotch_core::unit::Tokens;
+use serde::Serialize;
+
+use crate::filters::attempt::Finish;
+
+#[derive(Serialize)]
+struct Completion<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+    usage: Usage,
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    message: Message<'a>,
+    finish_reason: &'a str,
+}
+
+#[derive(Serialize)]
+struct Message<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+#[derive(Serialize)]
+struct Usage {
+    prompt_tokens: Tokens,
+    completion_tokens: Tokens,
+    total_tokens: Tokens,
+}
+
+/// The whole answer as one JSON document.
+pub fn completion(id: &str, model: &Model, text: &str, finish: &Finish) -> Bytes {
+    let completion = Completion {
+        id,
+        object: "chat.completion",
+        model: model.as_str(),
+        choices: [Choice {
+            index: 0,
+            message: Message {
+                role: "assistant",
+                content: text,
+            },
+            finish_reason: &finish.reason,
+        }],
+        usage: Usage {
+            prompt_tokens: finish.usage.prompt,
+            completion_tokens: finish.usage.generated,
+            total_tokens: finish.usage.prompt + finish.usage.generated,
+        },
+    };
+    // Strings and numbers always serialise.
+    serde_json::to_vec(&completion).unwrap_or_default().into()
+}
--- /dev/null
+++ b/crates/fleet/src/filters/sse.rs
@@ -0,0 +1,173 @@
+//! Server-sent events of a chat answer.
+
+use std::borrow::Cow;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use chestnutnotch_core::unit::Tokens;
+use serde::Deserialize;
+use thiserror::Error;
+
+/// Longest single event, in bytes.
+const EVENT_BYTES: usize = 256 << 10;
+const END: &[u8] = b"\n\n";
+
+/// Why a stream of events makes no sense.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum StreamError {
+    /// An event is longer than the bound.
+    #[error("an event is longer than {EVENT_BYTES} bytes")]
+    TooLong,
+    /// An event is not of the expected form.
+    #[error("an event is malformed")]
+    Malformed,
+    /// An event belongs to another request.
+    #[error("an event belongs to another request")]
+    Foreign,
+}
+
+/// Cuts a stream of bytes into whole events.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    rest: BytesMut,
+}
+
+impl Splitter {
+    /// Takes in bytes and returns the whole events so far; a part of an event is kept.
+    ///
+    /// # Errors
+    ///
+    /// [`StreamError::TooLong`].
+    pub fn push(&mut self, frame: Bytes) -> Result<Bytes, StreamError> {
+        if self.rest.is_empty() && frame.ends_with(END) {
+            return Ok(frame);
+        }
+        let seen = self.rest.len().saturating_sub(END.len() - 1);
+        self.rest.extend_from_slice(&frame);
+        let found = self.rest[seen..].windows(END.len()).rposition(|w| w == END);
+        let Some(found) = found else {
+            if self.rest.len() > EVENT_BYTES {
+                return Err(StreamError::TooLong);
+            }
+            return Ok(Bytes::new());
+        };
+        Ok(self.rest.split_to(seen + found + END.len()).freeze())
+    }
+}
+
+/// Splits whole events, each with its end.
+pub fn events(mut whole: Bytes) -> impl Iterator<Item = Bytes> {
+    std::iter::from_fn(move || {
+        if whole.is_empty() {
+            return None;
+        }
+        let end = whole.windows(END.len()).position(|w| w == END);
+        let length = end.map_or(whole.len(), |end| end + END.len());
+        Some(whole.split_to(length))
+    })
+}
+
+/// Usage as an upstream counts it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    #[serde(rename = "prompt_tokens")]
+    pub prompt: Tokens,
+    /// Generated tokens.
+    #[serde(rename = "completion_tokens")]
+    pub generated: Tokens,
+}
+
+/// What an event says.
+#[derive(Debug, PartialEq)]
+pub enum Event<'a> {
+    /// A comment, or an event without content.
+    Idle,
+    /// Generated text.
+    Token(Cow<'a, str>),
+    /// The end of the text, its usage, or both.
+    Last {
+        /// Text that comes with it.
+        text: Cow<'a, str>,
+        /// Why the text ends.
+        reason: Option<Cow<'a, str>>,
+        /// What it cost.
+        usage: Option<Usage>,
+    },
+    /// The end of the stream.
+    Done,
+}
+
+#[derive(Deserialize)]
+struct Chunk<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+    #[serde(borrow, default)]
+    choices: Vec<Choice<'a>>,
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Choice<'a> {
+    #[serde(borrow, default)]
+    delta: Delta<'a>,
+    #[serde(borrow)]
+    finish_reason: Option<Text<'a>>,
+}
+
+#[derive(Default, Deserialize)]
+struct Delta<'a> {
+    #[serde(borrow)]
+    content: Option<Text<'a>>,
+}
+
+#[derive(Deserialize)]
+struct Text<'a>(#[serde(borrow)] Cow<'a, str>);
+
+/// Reads one event of the answer to request `id`.
+///
+/// # Errors
+///
+/// See [`StreamError`].
+pub fn read<'a>(event: &'a [u8], id: &str) -> Result<Event<'a>, StreamError> {
+    let Some(data) = event.strip_prefix(b"data:") else {
+        return match event.first() {
+            Some(b':' | b'\n') => Ok(Event::Idle),
+            _ => Err(StreamError::Malformed),
+        };
+    };
+    let data = data.trim_ascii();
+    if data == b"[DONE]" {
+        return Ok(Event::Done);
+    }
+    let chunk: Chunk<'a> = serde_json::from_slice(data).map_err(|_| StreamError::Malformed)?;
+    if chunk.id != id {
+        return Err(StreamError::Foreign);
+    }
+    let mut text = Cow::Borrowed("");
+    let mut reason = None;
+    if let Some(choice) = chunk.choices.into_iter().next() {
+        text = choice.delta.content.map_or(text, |content| content.0);
+        reason = choice.finish_reason.map(|reason| reason.0);
+    }
+    if reason.is_some() || chunk.usage.is_some() {
+        return Ok(Event::Last {
+            text,
+            reason,
+            usage: chunk.usage,
+        });
+    }
+    if text.is_empty() {
+        return Ok(Event::Idle);
+    }
+    Ok(Event::Token(text))
+}
+
+/// An event with the given JSON.
+pub fn event(json: &[u8]) -> Bytes {
+    let mut event = BytesMut::with_capacity(json.len() + 8);
+    event.extend_from_slice(b"data: ");
+    event.extend_from_slice(json);
+    event.extend_from_slice(END);
+    event.freeze()
+}
