--- a/crates/fleet/src/controllers/config.rs
+++ b/crates/fleet/src/controllers/config.rs
@@ -8,6 +8,7 @@
 use chestnutnotch_core::config::WorkspaceSpec;
 use chestnutnotch_core::id::Model;
 use chestnutnotch_core::id::Service;
+use chestnutnotch_core::id::Workspace;
 use chestnutnotch_core::map::Map;
 use chestnutnotch_core::unit::Revision;
 use ractor::Actor;
@@ -29,6 +30,7 @@
 pub struct InForce {
     accepted: Arc<Accepted>,
     keys: Map<u64, Vec<KeyRow>>,
+    workspaces: Map<Workspace, usize>,
     models: Map<Model, usize>,
     services: Map<Service, usize>,
 }
@@ -50,6 +52,8 @@
                 keys.entry(slot(&hash)).or_default().push(row);
             }
         }
+        let workspaces = document.workspaces.iter().enumerate();
+        let workspaces = workspaces.map(|(i, spec)| (spec.name.clone(), i)).collect();
         let models = document.models.iter().enumerate();
         let models = models.map(|(i, spec)| (spec.name.clone(), i)).collect();
         let services = document.services.iter().enumerate();
@@ -57,6 +61,7 @@
         Self {
             accepted,
             keys,
+            workspaces,
             models,
             services,
         }
@@ -77,8 +82,9 @@
     }
 
     /// A model, if the workspace may use it.
-    pub fn model(&self, workspace: &WorkspaceSpec, model: &Model) -> Option<&ModelSpec> {
-        if !workspace.models.is_empty() && !workspace.models.contains(model) {
+    pub fn model(&self, workspace: &Workspace, model: &Model) -> Option<&ModelSpec> {
+        let open = &self.spec(workspace)?.models;
+        if !open.is_empty() && !open.contains(model) {
             return None;
         }
         let index = *self.models.get(model)?;
@@ -86,14 +92,19 @@
     }
 
     /// A plain service, if the workspace may call it.
-    pub fn service(&self, workspace: &WorkspaceSpec, service: &str) -> Option<&ServiceSpec> {
-        let open = workspace.services.is_empty();
-        if !open && !workspace.services.iter().any(|s| s.as_str() == service) {
+    pub fn service(&self, workspace: &Workspace, service: &str) -> Option<&ServiceSpec> {
+        let open = &self.spec(workspace)?.services;
+        if !open.is_empty() && !open.iter().any(|one| one.as_str() == service) {
             return None;
         }
         let index = *self.services.get(service)?;
         self.accepted.document.services.get(index)
     }
+
+    fn spec(&self, workspace: &Workspace) -> Option<&WorkspaceSpec> {
+        let index = *self.workspaces.get(workspace)?;
+        self.accepted.document.workspaces.get(index)
+    }
 }
 
 fn slot(hash: &[u8; HASH_BYTES]) -> u64 {
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use chestnutnotch_core::id::DataCentre;
 use chestnutnotch_core::id::Upstream;
@@ -14,36 +15,87 @@
 use chestnutnotch_core::upstream::Absent;
 use chestnutnotch_core::upstream::Announcement;
 use chestnutnotch_core::upstream::Attempt;
+use chestnutnotch_core::upstream::Crash;
 use chestnutnotch_core::upstream::Ended;
+use chestnutnotch_core::upstream::Phase;
 use chestnutnotch_core::upstream::Pick;
+use chestnutnotch_core::upstream::Pool;
+use chestnutnotch_core::upstream::Probe;
+use chestnutnotch_core::upstream::RowStatus;
+use chestnutnotch_core::upstream::Rules;
 use chestnutnotch_core::upstream::Table;
 use chestnutnotch_core::upstream::Wanted;
+use http::HeaderMap;
+use http::Method;
+use http::StatusCode;
 
+use crate::edges::http::HttpClient;
+use crate::edges::http::client::Call;
+use crate::edges::http::read_bounded;
 use crate::metrics::Metrics;
 use crate::timer::Timer;
 
+const ASK_WITHIN: Duration = Duration::from_millis(500);
+
+/// Largest announcement, in bytes.
+pub const ANNOUNCEMENT_BYTES: usize = 64 << 10;
+
+/// What an announcement changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum News {
+    /// Nothing.
+    Old,
+    /// Load or cache contents.
+    Load,
+    /// Whether the upstream takes work: a new start, a leave, or the first word of it.
+    Standing,
+}
+
 /// A handle on the table of upstreams. Cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Upstreams {
     table: Arc<Mutex<Table>>,
+    client: HttpClient,
+    routers: u32,
     timer: Timer,
     metrics: Arc<Metrics>,
 }
 
 impl Upstreams {
-    /// An empty table.
-    pub fn new(centre: DataCentre, timer: Timer, metrics: Arc<Metrics>) -> Self {
+    /// An empty table. `routers` is the number of routers that share the upstreams.
+    pub fn new(
+        centre: DataCentre,
+        routers: u32,
+        client: HttpClient,
+        timer: Timer,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let table = Table::with(centre, Rules::default(), rand::random());
         Self {
-            table: Arc::new(Mutex::new(Table::new(centre))),
+            table: Arc::new(Mutex::new(table)),
+            client,
+            routers,
             timer,
             metrics,
         }
     }
 
-    /// Takes in an announcement. Returns whether it was news.
-    pub fn observe(&self, said: Announcement) -> bool {
-        let news = self.table().observe(self.timer.now(), said);
-        self.metrics.announcements.add(if news { "news" } else { "old" });
+    /// Takes in an announcement.
+    pub fn observe(&self, said: Announcement) -> News {
+        let mut table = self.table();
+        let known = table
+            .announcements()
+            .find(|known| known.upstream == said.upstream)
+            .map(|known| (known.incarnation, known.phase));
+        let standing = Some((said.incarnation, said.phase));
+        let heard = table.observe(self.timer.now(), said);
+        drop(table);
+        let (news, word) = match heard {
+            false => (News::Old, "old"),
+            true if standing == known => (News::Load, "load"),
+            true => (News::Standing, "standing"),
+        };
+        self.metrics.announcements.add(word);
         news
     }
 
@@ -69,6 +121,71 @@
         self.table().end(self.timer.now(), attempt, ended);
     }
 
+    /// Asks an upstream for its state directly. Whether it takes work as the start that is known.
+    pub async fn ask(&self, probe: &Probe) -> bool {
+        let said = self.request(probe).await;
+        let usable = said.as_ref().is_some_and(|said| {
+            said.upstream == probe.upstream
+                && said.incarnation == probe.incarnation
+                && said.phase == Phase::Ready
+        });
+        self.metrics.announcements.add(match said {
+            Some(_) => "asked",
+            None => "silent",
+        });
+        let now = self.timer.now();
+        self.table().asked(now, &probe.upstream, probe.incarnation, said);
+        usable
+    }
+
+    async fn request(&self, probe: &Probe) -> Option<Announcement> {
+        let call = Call {
+            address: probe.address,
+            method: Method::GET,
+            path: "/v1/phase".to_owned(),
+            headers: HeaderMap::new(),
+            body: Default::default(),
+        };
+        let response = self.client.send(call, ASK_WITHIN).await.ok()?;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        let body = read_bounded(response.into_body(), ANNOUNCEMENT_BYTES, ASK_WITHIN).await;
+        serde_json::from_slice(&body.ok()?).ok()
+    }
+
+    /// Lets time pass. Returns the upstreams to ask now.
+    pub fn tick(&self) -> Vec<Probe> {
+        let now = self.timer.now();
+        let mut table = self.table();
+        table.tick(now);
+        table.probes(now)
+    }
+
+    /// Takes in another router's crash evidence. Returns whether it was news.
+    pub fn crash(&self, crash: &Crash) -> bool {
+        let now = self.timer.now();
+        let mut table = self.table();
+        table.crash(now, crash.body, &crash.upstream, crash.incarnation)
+    }
+
+    /// Crash evidence that this router found since the last call.
+    pub fn crashes(&self) -> Vec<Crash> {
+        let mut out = Vec::new();
+        self.table().crashes(&mut out);
+        out
+    }
+
+    /// How many requests this router may run at once.
+    pub fn pools(&self) -> Vec<Pool> {
+        self.table().pools(self.timer.now(), self.routers)
+    }
+
+    /// State of each upstream.
+    pub fn rows(&self) -> Vec<RowStatus> {
+        self.table().rows(self.timer.now()).collect()
+    }
+
     /// The newest announcement of each upstream.
     pub fn announcements(&self) -> Vec<Announcement> {
         self.table().announcements().cloned().collect()
--- a/crates/fleet/src/edges/rpc/mod.rs
+++ b/crates/fleet/src/edges/rpc/mod.rs
@@ -1,6 +1,9 @@
 //! RPC between the processes of the system.
 
 mod client;
+pub mod router;
 
 pub use client::ControlClient;
 pub use client::ControlError;
+pub use router::RouterClient;
+pub use router::SpreadError;
--- /dev/null
+++ b/crates/fleet/src/filters/choose.rs
@@ -0,0 +1,69 @@
+//! Chooses an upstream for an attempt, and asks it first where that is due.
+
+use std::time::Duration;
+
+use chestnutnotch_core::limit::Shed;
+use chestnutnotch_core::limit::ShedReason;
+use chestnutnotch_core::unit::Millis;
+use chestnutnotch_core::upstream::Absent;
+use chestnutnotch_core::upstream::Ended;
+use chestnutnotch_core::upstream::Pick;
+use chestnutnotch_core::upstream::Probe;
+use chestnutnotch_core::upstream::Wanted;
+
+use crate::filters::Chain;
+use crate::filters::refusal::Ran;
+use crate::filters::refusal::Refusal;
+
+const ROUNDS: u32 = 8;
+const FULL_PAUSE: Duration = Duration::from_millis(25);
+
+impl Chain {
+    /// Chooses an upstream and counts the attempt. `ran` is what earlier attempts did.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::NoUpstream`], [`Refusal::Overloaded`] or [`Refusal::Quarantined`].
+    pub async fn pick(&self, wanted: &Wanted, ran: Ran) -> Result<Pick, Refusal> {
+        for _ in 0..ROUNDS {
+            match self.upstreams.choose(wanted) {
+                Ok(pick) if !pick.ask => return Ok(pick),
+                Ok(pick) => {
+                    if self.upstreams.ask(&probe(&pick)).await {
+                        return Ok(pick);
+                    }
+                    self.upstreams.end(pick.attempt, Ended::Neutral);
+                }
+                Err(Absent::Full) => tokio::time::sleep(FULL_PAUSE).await,
+                Err(Absent::NoneKnown | Absent::NoneUsable) => return Err(Refusal::NoUpstream),
+                Err(Absent::Quarantined { until } | Absent::Suspect { until }) => {
+                    let after = seconds(until.saturating_sub(self.timer.now()));
+                    return Err(Refusal::Quarantined { after, ran });
+                }
+            }
+        }
+        Err(Refusal::Overloaded)
+    }
+}
+
+/// The refusal of a request that was shed under load.
+pub fn shed(shed: Shed) -> Refusal {
+    match shed.reason {
+        ShedReason::Closed => Refusal::NoUpstream,
+        ShedReason::Full | ShedReason::Deadline => Refusal::Shed {
+            after: seconds(shed.after),
+        },
+    }
+}
+
+fn probe(pick: &Pick) -> Probe {
+    Probe {
+        upstream: pick.upstream.clone(),
+        incarnation: pick.incarnation,
+        address: pick.address,
+    }
+}
+
+fn seconds(span: Millis) -> u64 {
+    span.0.div_ceil(1_000).max(1)
+}
--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -3,6 +3,7 @@
 //! This is the one owner of retries. The task outlives the caller's connection, so that every
 //! attempt ends in a bill, a release or a cancel.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 
 use crate::controllers::abandoned::Orphan;
 use crate::controllers::bills::Due;
+use crate::controllers::gate::Asking;
+use crate::controllers::gate::Pass;
 use crate::edges::http::SendError;
 use crate::filters::Chain;
 use crate::filters::attempt::Finish;
@@ -32,6 +35,7 @@
 use crate::filters::attempt::ReadFault;
 use crate::filters::attempt::Reader;
 use crate::filters::attempt::Source;
+use crate::filters::choose::shed;
 use crate::filters::identify::Caller;
 use crate::filters::identify::Identity;
 use crate::filters::known::Lease;
@@ -168,6 +172,13 @@
     async fn serve(&mut self) -> Result<Bytes, Stop> {
         self.check_bill().await?;
         let first = self.reserve().await?;
+        let pass = match self.enter().await {
+            Ok(pass) => pass,
+            Err(stop) => {
+                self.chain.allotment.release(first, Tokens::ZERO);
+                return Err(stop);
+            }
+        };
         let mut held = Some(first);
         self.chain.retries().first(self.chain.timer.now());
         for number in 1.. {
@@ -176,7 +187,10 @@
                 None => self.reserve().await?,
             };
             let refusal = match self.attempt(reservation).await {
-                Ok((finish, open)) => return self.conclude(finish, open).await,
+                Ok((finish, open)) => {
+                    pass.finish();
+                    return self.conclude(finish, open).await;
+                }
                 Err(Miss::Stop(stop)) => return Err(stop),
                 Err(Miss::Again(refusal)) => refusal,
             };
@@ -209,12 +223,45 @@
         let worst = self.chat.prompt + self.limit();
         let budget = self.caller.budget.clone();
         let reserving = chain.allotment.reserve(&budget, worst, self.deadline);
-        tokio::select! {
-            held = reserving => Ok(held.map_err(|refusal| self.truthful(refusal))?),
-            () = self.output.gone() => Err(Stop::Gone),
+        let held = self.unless_gone(reserving).await?;
+        Ok(held.map_err(|refusal| self.truthful(refusal))?)
+    }
+
+    async fn enter(&mut self) -> Result<Pass, Stop> {
+        let chain = Arc::clone(&self.chain);
+        let asking = Asking {
+            workspace: self.caller.workspace.clone(),
+            share: self.caller.share,
+            priority: self.spec.priority,
+            kind: self.kind(),
+            cost: self.chat.prompt + self.limit(),
+            deadline: self.deadline,
+        };
+        let entering = chain.gate.enter(asking);
+        let entered = self.unless_gone(entering).await?;
+        Ok(entered.map_err(shed)?)
+    }
+
+    /// Waits for something unless the caller goes away and no resend waits in its place.
+    async fn unless_gone<T>(&mut self, work: impl Future<Output = T>) -> Result<T, Gone> {
+        tokio::pin!(work);
+        loop {
+            tokio::select! {
+                biased;
+                done = &mut work => return Ok(done),
+                () = self.output.gone() => {}
+            }
+            if !self.lease.joined() {
+                return Err(Gone);
+            }
+            self.output.detach();
         }
     }
 
+    fn kind(&self) -> Kind {
+        Kind::Model(self.chat.model.clone(), self.chat.adapter.clone())
+    }
+
     fn limit(&self) -> Tokens {
         let most = self.spec.limit;
         self.chat.limit.map_or(most, |limit| limit.min(most))
@@ -240,9 +287,9 @@
 
     async fn attempt(&mut self, held: Reservation) -> Result<(Finish, Open), Miss> {
         let wanted = Wanted {
-            kind: Kind::Model(self.chat.model.clone(), self.chat.adapter.clone()),
+            kind: self.kind(),
             priority: self.spec.priority,
-            prefixes: Vec::new(),
+            prefixes: self.chat.prefixes.clone(),
             body: self.chat.body,
             avoid: self.tried.clone(),
         };
@@ -279,23 +326,12 @@
         let within = self.left().min(Duration::from_millis(self.spec.first.0));
         let id = Arc::clone(&open.id);
         let opening = Source::open(&chain.client, open.pick.address, &id, body, within);
-        tokio::pin!(opening);
-        loop {
-            tokio::select! {
-                opened = &mut opening => {
-                    return match opened {
-                        Ok(source) => Ok((source, open)),
-                        Err(error) => Err(self.not_opened(open, &error)),
-                    };
-                }
-                () = self.output.gone() => {
-                    if self.lease.joined() {
-                        self.output.detach();
-                        continue;
-                    }
-                    self.abandon(open, Ended::Neutral);
-                    return Err(Miss::Stop(Stop::Gone));
-                }
+        match self.unless_gone(opening).await {
+            Ok(Ok(source)) => Ok((source, open)),
+            Ok(Err(error)) => Err(self.not_opened(open, &error)),
+            Err(Gone) => {
+                self.abandon(open, Ended::Neutral);
+                Err(Miss::Stop(Stop::Gone))
             }
         }
     }
--- a/crates/fleet/src/filters/parse.rs
+++ b/crates/fleet/src/filters/parse.rs
@@ -1,5 +1,10 @@
 //! Reads a chat request and counts its worst case.
 
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync::Arc;
+
 use bytes::Bytes;
 use chestnutnotch_core::id::Fingerprint;
 use chestnutnotch_core::id::Model;
@@ -14,6 +19,9 @@
 /// Tokens that a chat template may add to each request.
 const REQUEST_TOKENS: u64 = 32;
 
+/// Most prefixes that are hashed.
+const PREFIXES: usize = 16;
+
 /// Fields that never reach the prompt.
 const PLAIN_FIELDS: [&str; 5] = ["model", "messages", "stream", "stream_options", "user"];
 
@@ -23,13 +31,15 @@
     /// The model asked for.
     pub model: Model,
     /// Its adapter, if any.
-    pub adapter: Option<std::sync::Arc<str>>,
+    pub adapter: Option<Arc<str>>,
     /// Whether the answer is streamed to the caller.
     pub stream: bool,
     /// Most generated tokens that the caller asks for.
     pub limit: Option<Tokens>,
     /// Bound on the prompt's tokens.
     pub prompt: Tokens,
+    /// Hashes of the prompt up to each message, shortest first.
+    pub prefixes: Vec<u64>,
     /// Hash of the body.
     pub body: Fingerprint,
     fields: Map<String, Value>,
@@ -58,6 +68,7 @@
             stream,
             limit: limit(&fields)?,
             prompt: prompt(&fields)?,
+            prefixes: prefixes(&fields),
             body: Fingerprint::of(body),
             fields,
         })
@@ -77,6 +88,16 @@
     }
 }
 
+fn prefixes(fields: &Map<String, Value>) -> Vec<u64> {
+    let messages = fields.get("messages").and_then(Value::as_array);
+    let mut hasher = DefaultHasher::new();
+    let hash = |message: &Value| {
+        message.hash(&mut hasher);
+        hasher.finish()
+    };
+    messages.into_iter().flatten().take(PREFIXES).map(hash).collect()
+}
+
 fn flag(fields: &Map<String, Value>, name: &str) -> Result<bool, Malformed> {
     match fields.get(name) {
         None | Some(Value::Null) => Ok(false),
@@ -88,7 +109,7 @@
 fn text(
     fields: &Map<String, Value>,
     name: &str,
-) -> Result<Option<std::sync::Arc<str>>, Malformed> {
+) -> Result<Option<Arc<str>>, Malformed> {
     match fields.get(name) {
         None | Some(Value::Null) => Ok(None),
         Some(Value::String(text)) => Ok(Some(text.as_str().into())),
--- a/crates/fleet/src/filters/refusal.rs
+++ b/crates/fleet/src/filters/refusal.rs
@@ -107,6 +107,12 @@
     /// All upstreams that offer it are full.
     #[error("all upstreams that serve this are full")]
     Overloaded,
+    /// It was refused under load before it ran.
+    #[error("too many requests wait for the upstreams that serve this")]
+    Shed {
+        /// Seconds until it may be tried again.
+        after: u64,
+    },
     /// The request crashed upstreams before.
     #[error("this request stopped upstreams that ran it; it is not run again")]
     Quarantined {
@@ -160,6 +166,7 @@
             Self::NoQuorum => "no_quorum",
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
+            Self::Shed { .. } => "shed",
             Self::Quarantined { .. } => "quarantined",
             Self::Failed(_) => "upstream_failed",
             Self::Rejected(_) => "upstream_rejected",
@@ -187,6 +194,7 @@
             | Self::NoQuorum
             | Self::NoUpstream
             | Self::Overloaded
+            | Self::Shed { .. }
             | Self::BillUnsafe => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed(_) | Self::Rejected(_) | Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::Deadline(_) => StatusCode::GATEWAY_TIMEOUT,
@@ -209,7 +217,7 @@
         match self {
             Self::BudgetSpent => Some(SPENT_SECONDS),
             Self::NoQuorum | Self::NoUpstream => Some(LATER_SECONDS),
-            Self::Quarantined { after, .. } => Some(*after),
+            Self::Quarantined { after, .. } | Self::Shed { after } => Some(*after),
             Self::AllotmentShort
             | Self::Starting
             | Self::Stopping
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,11 +5,15 @@
 //! - [`settings`]: one TOML file for each process.
 //! - [`timer`]: the one source of time that parts subscribe to.
 //! - [`edges`]: what touches the world outside a process: HTTP, RPC, disk.
+//! - [`router`]: a whole router process.
+//! - [`metrics`]: counters of every decision.
 //! - [`filters`]: the chain that each caller's request passes through.
 //! - [`controllers`]: actors that drive the pure decisions of `chestnutnotch-core`.
 
 pub mod controllers;
 pub mod edges;
 pub mod filters;
+pub mod metrics;
+pub mod router;
 pub mod settings;
 pub mod timer;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -53,6 +53,8 @@
     pub resumes: Results,
     /// Cancelled attempts.
     pub cancels: Results,
+    /// Admissions: at once, after a wait, or why not.
+    pub admissions: Results,
     /// Claims of non-idempotent calls.
     pub claims: Results,
     /// Requests with a key that this router knew.
@@ -83,6 +85,7 @@
             tokens: Results::default(),
             resumes: Results::default(),
             cancels: Results::default(),
+            admissions: Results::default(),
             claims: Results::default(),
             known: Results::default(),
             announcements: Results::default(),
@@ -106,6 +109,7 @@
             ("tokens", "Tokens billed and wasted", &self.tokens),
             ("resumes", "Resumed streams", &self.resumes),
             ("cancels", "Cancelled attempts", &self.cancels),
+            ("admissions", "Admissions under load", &self.admissions),
             ("claims", "Claims of non-idempotent calls", &self.claims),
             ("known", "Requests with a known key", &self.known),
             ("announcements", "Announcements", &self.announcements),
--- /dev/null
+++ b/crates/fleet/src/router.rs
@@ -0,0 +1,339 @@
+//! A router process as a library: start, serve, graceful stop.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use chestnutnotch_core::command::Command;
+use chestnutnotch_core::command::Join;
+use chestnutnotch_core::command::Reply;
+use chestnutnotch_core::id::Holder;
+use chestnutnotch_core::id::Operator;
+use chestnutnotch_core::id::RouterId;
+use chestnutnotch_core::ledger::Purse;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+use crate::controllers::abandoned::Abandoned;
+use crate::controllers::allotment;
+use crate::controllers::allotment::Allotment;
+use crate::controllers::bills::Bills;
+use crate::controllers::config::Config;
+use crate::controllers::gate::Gate;
+use crate::controllers::lifecycle::Lifecycle;
+use crate::controllers::lifecycle::Stage;
+use crate::controllers::spread::Spread;
+use crate::controllers::upstreams::Upstreams;
+use crate::edges::http::HttpClient;
+use crate::edges::http::server;
+use crate::edges::rpc::ControlClient;
+use crate::edges::rpc::router;
+use crate::filters::Chain;
+use crate::filters::Parts;
+use crate::filters::route::Front;
+use crate::metrics::Metrics;
+use crate::settings::HostSettings;
+use crate::settings::RouterSettings;
+use crate::settings::Settings;
+use crate::timer::Timer;
+use crate::timer::jitter;
+
+const JOIN_WITHIN: Duration = Duration::from_secs(2);
+const JOIN_PAUSE: Duration = Duration::from_millis(100);
+const FLUSH_WITHIN: Duration = Duration::from_secs(10);
+
+/// Why a router does not start, or ends.
+#[derive(Debug, Error)]
+pub enum RouterError {
+    /// The settings have no table for a router.
+    #[error("the settings have no [router] table")]
+    NoRouter,
+    /// An address can't be listened on.
+    #[error("can't listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// An actor did not start.
+    #[error("an actor did not start: {0}")]
+    Spawn(#[from] ractor::SpawnErr),
+    /// No random number was to be had.
+    #[error("no random number: {0}")]
+    Random(#[from] getrandom::Error),
+    /// The ledger has closed this start of the router; a new start is needed.
+    #[error("the ledger has closed this router: it was retired, or another start took its place")]
+    Closed,
+}
+
+/// A running router.
+#[derive(Debug)]
+pub struct Router {
+    front: Arc<Front>,
+    http: SocketAddr,
+    rpc: SocketAddr,
+    drain: Duration,
+    joining: JoinHandle<Result<(), RouterError>>,
+    servers: Vec<(oneshot::Sender<()>, JoinHandle<()>)>,
+}
+
+/// Runs a router until `stop`, then stops it gracefully.
+///
+/// # Errors
+///
+/// See [`RouterError`].
+pub async fn run(
+    settings: Settings,
+    timer: Timer,
+    stop: impl Future<Output = ()>,
+) -> Result<(), RouterError> {
+    let mut router = Router::start(settings, timer).await?;
+    let outcome = tokio::select! {
+        () = stop => Ok(()),
+        error = router.failed() => Err(error),
+    };
+    router.stop().await;
+    outcome
+}
+
+impl Router {
+    /// Binds the addresses and begins to join. Serves callers when the ledger has taken it in and a
+    /// quorum has confirmed a configuration.
+    ///
+    /// # Errors
+    ///
+    /// See [`RouterError`].
+    pub async fn start(settings: Settings, timer: Timer) -> Result<Self, RouterError> {
+        let own = settings.router.clone().ok_or(RouterError::NoRouter)?;
+        let listener = bind(own.listen).await?;
+        let peers = bind(own.rpc).await?;
+        let http = address(&listener, own.listen)?;
+        let rpc = address(&peers, own.rpc)?;
+        let drain = Duration::from_millis(own.drain);
+        let nonce = getrandom::u64()?;
+        let starting = Starting::new(settings, own, timer).await?;
+        let front = Arc::clone(&starting.front);
+        let spread = front.spread.clone();
+        let (stop_http, http_stopped) = oneshot::channel();
+        let (stop_rpc, rpc_stopped) = oneshot::channel();
+        let http_server = tokio::spawn(server::serve(listener, Arc::clone(&front), http_stopped));
+        let rpc_server = tokio::spawn(async move {
+            if let Err(error) = router::serve(peers, spread, rpc_stopped).await {
+                log::error!("serving other routers failed: {error}");
+            }
+        });
+        Ok(Self {
+            front,
+            http,
+            rpc,
+            drain,
+            joining: tokio::spawn(starting.join(nonce)),
+            servers: vec![(stop_http, http_server), (stop_rpc, rpc_server)],
+        })
+    }
+
+    /// Address for callers and upstreams.
+    pub fn http(&self) -> SocketAddr {
+        self.http
+    }
+
+    /// Address for other routers.
+    pub fn rpc(&self) -> SocketAddr {
+        self.rpc
+    }
+
+    /// Waits until the router serves callers, or never will.
+    pub async fn ready(&self) {
+        let mut stage = self.front.lifecycle.follow();
+        // The sender lives as long as `self`, so this can't fail.
+        let _ = stage.wait_for(|stage| *stage != Stage::Starting).await;
+    }
+
+    /// Waits until the router can serve no more by itself.
+    pub async fn failed(&mut self) -> RouterError {
+        if !self.joining.is_finished()
+            && let Ok(Err(error)) = (&mut self.joining).await
+        {
+            return error;
+        }
+        let mut stage = self.front.lifecycle.follow();
+        // See `ready`.
+        let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
+        RouterError::Closed
+    }
+
+    /// Stops gracefully: refuses new requests, finishes those in flight, has the bills made safe,
+    /// returns the allotments and ends.
+    pub async fn stop(self) {
+        self.front.lifecycle.advance(Stage::Stopping);
+        let idle = self.front.lifecycle.idle();
+        if tokio::time::timeout(self.drain, idle).await.is_err() {
+            log::warn!("requests were still in flight at the end of the drain time");
+        }
+        self.joining.abort();
+        if let Some(chain) = self.front.chain.get() {
+            leave(chain).await;
+        }
+        self.front.spread.stop();
+        for (stop, server) in self.servers {
+            // A server that has ended needs no word.
+            let _ = stop.send(());
+            let _ = server.await;
+        }
+    }
+}
+
+async fn leave(chain: &Chain) {
+    let flushed = tokio::time::timeout(FLUSH_WITHIN, chain.bills.idle()).await;
+    if flushed.is_err() {
+        log::error!("some bills are not safe; their reservations stay with this router's holder");
+        return;
+    }
+    if !chain.allotment.leave().await {
+        log::warn!("the allotments could not be returned; the next start on this host frees them");
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, RouterError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| RouterError::Listen { address, source })
+}
+
+fn address(listener: &TcpListener, asked: SocketAddr) -> Result<SocketAddr, RouterError> {
+    listener.local_addr().map_err(|source| RouterError::Listen {
+        address: asked,
+        source,
+    })
+}
+
+/// A router that has not joined.
+struct Starting {
+    front: Arc<Front>,
+    host: HostSettings,
+    settings: RouterSettings,
+    control: ControlClient,
+    client: HttpClient,
+    timer: Timer,
+}
+
+impl Starting {
+    async fn new(
+        settings: Settings,
+        own: RouterSettings,
+        timer: Timer,
+    ) -> Result<Self, RouterError> {
+        let host = settings.host;
+        let metrics = Arc::new(Metrics::new());
+        let operator = Operator::from(host.name.as_str());
+        let control = ControlClient::new(settings.control, operator);
+        let client = HttpClient::new();
+        let others = others(&own);
+        let upstreams = Upstreams::new(
+            host.centre.clone(),
+            others.len() as u32 + 1,
+            client.clone(),
+            timer.clone(),
+            Arc::clone(&metrics),
+        );
+        let spread = Spread::start(
+            &host.name,
+            &others,
+            upstreams.clone(),
+            &timer,
+            Arc::clone(&metrics),
+        );
+        let front = Front {
+            chain: OnceLock::new(),
+            config: Config::start(control.clone(), Arc::clone(&metrics)).await?,
+            lifecycle: Lifecycle::new(Arc::clone(&metrics)),
+            gate: Gate::start(upstreams.clone(), timer.clone(), Arc::clone(&metrics)).await?,
+            spread: spread.await?,
+            upstreams,
+            metrics,
+        };
+        Ok(Self {
+            front: Arc::new(front),
+            settings: own,
+            host,
+            control,
+            client,
+            timer,
+        })
+    }
+
+    /// Gets an incarnation and a confirmed configuration, then serves.
+    async fn join(self, nonce: u64) -> Result<(), RouterError> {
+        let router = self.incarnation(nonce).await;
+        log::info!("joined as {router}");
+        let metrics = Arc::clone(&self.front.metrics);
+        let allotment = Allotment::start(allotment::Parts {
+            purse: Purse::new(Holder::Router(router.clone())),
+            control: self.control.clone(),
+            period: Duration::from_millis(self.settings.draw.max(1)),
+            timer: self.timer.clone(),
+            metrics: Arc::clone(&metrics),
+            lifecycle: self.front.lifecycle.clone(),
+        })
+        .await?;
+        let control = self.control.clone();
+        let bills = Bills::start(control, allotment.clone(), Arc::clone(&metrics)).await?;
+        let abandoned = Abandoned::start(
+            self.client.clone(),
+            allotment.clone(),
+            self.front.upstreams.clone(),
+            &self.timer,
+            Arc::clone(&metrics),
+        );
+        let chain = Chain::new(Parts {
+            settings: self.settings,
+            router,
+            timer: self.timer,
+            control: self.control,
+            client: self.client,
+            allotment,
+            bills,
+            abandoned: abandoned.await?,
+            upstreams: self.front.upstreams.clone(),
+            gate: self.front.gate.clone(),
+            metrics,
+        });
+        // The cell is filled only here.
+        let _ = self.front.chain.set(Arc::new(chain));
+        self.front.config.ready().await;
+        self.front.lifecycle.advance(Stage::Serving);
+        Ok(())
+    }
+
+    async fn incarnation(&self, nonce: u64) -> RouterId {
+        loop {
+            let join = Command::Join(Join {
+                host: self.host.name.clone(),
+                centre: self.host.centre.clone(),
+                nonce,
+            });
+            match self.control.submit(join, JOIN_WITHIN).await {
+                Ok(Reply::Joined(incarnation)) => {
+                    return RouterId {
+                        host: self.host.name.clone(),
+                        incarnation,
+                    };
+                }
+                Ok(reply) => log::error!("joining was answered with {reply:?}"),
+                Err(error) => log::debug!("not joined yet: {error}"),
+            }
+            let pause = jitter(JOIN_PAUSE, &mut rand::rng());
+            tokio::time::sleep(JOIN_PAUSE + pause).await;
+        }
+    }
+}
+
+/// RPC addresses of the other routers.
+fn others(own: &RouterSettings) -> Vec<SocketAddr> {
+    let peers = own.peers.iter().copied();
+    peers.filter(|peer| *peer != own.rpc).collect()
+}
