--- a/crates/fleet/src/controllers/allotment.rs
+++ b/crates/fleet/src/controllers/allotment.rs
@@ -35,7 +35,7 @@
 use crate::filters::refusal::Refusal;
 use crate::metrics::Metrics;
 use crate::timer::Timer;
-use crate::timer::jitter;
+use crate::timer::random_part;
 
 const DRAW_WITHIN: Duration = Duration::from_millis(500);
 const LEAVE_WITHIN: Duration = Duration::from_secs(3);
@@ -145,7 +145,7 @@
             // Without an answer in time, the next round tries again.
             let _ = tokio::time::timeout(left.min(DRAW_WITHIN), rounds.changed()).await;
             if number > 0 {
-                tokio::time::sleep(jitter(pause.min(left), &mut rand::rng())).await;
+                tokio::time::sleep(random_part(pause.min(left))).await;
                 pause = (pause * 2).min(MOST_PAUSE);
             }
         }
@@ -171,8 +171,12 @@
 
     /// Returns all that is not spent. Whether the ledger took it in.
     pub async fn leave(&self) -> bool {
-        ractor::call_t!(self.actor, Message::Leave, LEAVE_WITHIN.as_millis() as u64 + 500)
-            .unwrap_or(false)
+        ractor::call_t!(
+            self.actor,
+            Message::Leave,
+            LEAVE_WITHIN.as_millis() as u64 + 500
+        )
+        .unwrap_or(false)
     }
 
     /// Has the actor report now; several calls make one report.
@@ -275,9 +279,14 @@
 
     async fn leave(&mut self) -> bool {
         let last = self.purse().leave();
-        let reply = self.control.submit(Command::Leave(last), LEAVE_WITHIN).await;
+        let reply = self
+            .control
+            .submit(Command::Leave(last), LEAVE_WITHIN)
+            .await;
         let done = matches!(reply, Ok(Reply::Done));
-        self.metrics.draws.add(if done { "left" } else { "no_quorum" });
+        self.metrics
+            .draws
+            .add(if done { "left" } else { "no_quorum" });
         done
     }
 }
--- a/crates/fleet/src/controllers/bills.rs
+++ b/crates/fleet/src/controllers/bills.rs
@@ -25,7 +25,7 @@
 use crate::controllers::allotment::Allotment;
 use crate::edges::rpc::ControlClient;
 use crate::metrics::Metrics;
-use crate::timer::jitter;
+use crate::timer::random_part;
 
 const QUORUM_WITHIN: Duration = Duration::from_millis(300);
 const PROBE_WITHIN: Duration = Duration::from_millis(60);
@@ -182,7 +182,7 @@
                 return;
             }
             self.metrics.bills.add("resent");
-            tokio::time::sleep(pause / 2 + jitter(pause, &mut rand::rng())).await;
+            tokio::time::sleep(pause / 2 + random_part(pause)).await;
             pause = (pause * 2).min(MOST_PAUSE);
         }
     }
@@ -190,7 +190,11 @@
     /// One try at the quorum and then at any replica's disk. An empty result is a refusal.
     async fn attempt(&self, bills: &[Bill]) -> Option<Vec<Saved>> {
         let degraded = self.degraded.load(Ordering::Relaxed);
-        let within = if degraded { PROBE_WITHIN } else { QUORUM_WITHIN };
+        let within = if degraded {
+            PROBE_WITHIN
+        } else {
+            QUORUM_WITHIN
+        };
         let command = Command::Bill(bills.to_vec());
         match self.control.submit(command, within).await {
             Ok(Reply::Billed(results)) => {
--- a/crates/fleet/src/controllers/spread.rs
+++ b/crates/fleet/src/controllers/spread.rs
@@ -240,7 +240,9 @@
         let host = self.host.clone();
         tokio::spawn(async move {
             let reply = client.spread(&host, Vec::new(), Vec::new()).await;
-            metrics.spreads.add(if reply.is_ok() { "fetched" } else { "failed" });
+            metrics
+                .spreads
+                .add(if reply.is_ok() { "fetched" } else { "failed" });
             for said in reply.unwrap_or_default() {
                 upstreams.observe(said);
             }
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -134,7 +134,8 @@
             None => "silent",
         });
         let now = self.timer.now();
-        self.table().asked(now, &probe.upstream, probe.incarnation, said);
+        self.table()
+            .asked(now, &probe.upstream, probe.incarnation, said);
         usable
     }
 
--- a/crates/fleet/src/edges/http/client.rs
+++ b/crates/fleet/src/edges/http/client.rs
@@ -75,7 +75,11 @@
     /// # Errors
     ///
     /// See [`SendError`].
-    pub async fn send(&self, call: Call, within: Duration) -> Result<Response<Incoming>, SendError> {
+    pub async fn send(
+        &self,
+        call: Call,
+        within: Duration,
+    ) -> Result<Response<Incoming>, SendError> {
         exchange(&self.pooled, call, within).await
     }
 
--- a/crates/fleet/src/edges/rpc/router.rs
+++ b/crates/fleet/src/edges/rpc/router.rs
@@ -89,7 +89,9 @@
         let mut client = proto::router_client::RouterClient::new(channel);
         let reply = client.spread(request).await?.into_inner();
         let newer = reply.announcements.into_iter();
-        Ok(newer.map(Announcement::try_from).collect::<Result<_, _>>()?)
+        Ok(newer
+            .map(Announcement::try_from)
+            .collect::<Result<_, _>>()?)
     }
 }
 
--- a/crates/fleet/src/filters/attempt.rs
+++ b/crates/fleet/src/filters/attempt.rs
@@ -306,7 +306,10 @@
                     return Err(ReadFault::Diverged);
                 }
                 self.tail.push_str(&text);
-                self.reason = self.reason.take().or(reason.map(|reason| reason.into_owned()));
+                self.reason = self
+                    .reason
+                    .take()
+                    .or(reason.map(|reason| reason.into_owned()));
                 self.usage = self.usage.or(usage);
                 self.hold(event)?;
                 Ok(false)
--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -46,7 +46,7 @@
 use crate::filters::refusal::Ran;
 use crate::filters::refusal::Refusal;
 use crate::filters::render;
-use crate::timer::jitter;
+use crate::timer::random_part;
 
 const ATTEMPTS: u32 = 3;
 const RESUMES: u32 = 2;
@@ -207,7 +207,11 @@
         if !self.identity.chosen {
             return Ok(());
         }
-        let found = self.chain.control.bill(&self.identity.id, FIND_WITHIN).await;
+        let found = self
+            .chain
+            .control
+            .bill(&self.identity.id, FIND_WITHIN)
+            .await;
         match found {
             Ok(Some(bill)) if bill.body != self.chat.body => Err(Refusal::KeyReused),
             Ok(Some(_)) => {
@@ -378,7 +382,11 @@
 
     /// Ends an attempt with an unknown end.
     fn lost(&mut self, open: Open, ended: Ended) -> Miss {
-        self.ran = if self.passed.tokens > 0 { Ran::Ran } else { Ran::Unknown };
+        self.ran = if self.passed.tokens > 0 {
+            Ran::Ran
+        } else {
+            Ran::Unknown
+        };
         self.abandon(open, ended);
         if self.left().is_zero() {
             return Miss::Stop(Refusal::Deadline(self.ran).into());
@@ -439,13 +447,17 @@
 
     /// Opens the rest of a broken stream on the same upstream.
     async fn resume(&self, open: &Open, reader: &mut Reader) -> Option<Source> {
-        tokio::time::sleep(jitter(RESUME_PAUSE, &mut rand::rng())).await;
+        tokio::time::sleep(random_part(RESUME_PAUSE)).await;
         reader.rewind();
         let within = self.left().min(Duration::from_millis(self.spec.between.0));
         let client = &self.chain.client;
         let address = open.pick.address;
         let resumed = Source::resume(client, address, &open.id, reader.got(), within).await;
-        let result = if resumed.is_ok() { "resumed" } else { "refused" };
+        let result = if resumed.is_ok() {
+            "resumed"
+        } else {
+            "refused"
+        };
         self.chain.metrics.resumes.add(result);
         resumed.ok()
     }
--- a/crates/fleet/src/filters/parse.rs
+++ b/crates/fleet/src/filters/parse.rs
@@ -95,7 +95,12 @@
         message.hash(&mut hasher);
         hasher.finish()
     };
-    messages.into_iter().flatten().take(PREFIXES).map(hash).collect()
+    messages
+        .into_iter()
+        .flatten()
+        .take(PREFIXES)
+        .map(hash)
+        .collect()
 }
 
 fn flag(fields: &Map<String, Value>, name: &str) -> Result<bool, Malformed> {
@@ -106,10 +111,7 @@
     }
 }
 
-fn text(
-    fields: &Map<String, Value>,
-    name: &str,
-) -> Result<Option<Arc<str>>, Malformed> {
+fn text(fields: &Map<String, Value>, name: &str) -> Result<Option<Arc<str>>, Malformed> {
     match fields.get(name) {
         None | Some(Value::Null) => Ok(None),
         Some(Value::String(text)) => Ok(Some(text.as_str().into())),
--- a/crates/fleet/src/filters/route.rs
+++ b/crates/fleet/src/filters/route.rs
@@ -156,11 +156,7 @@
     }
 }
 
-fn expect(
-    request: &Request<Incoming>,
-    method: Method,
-    name: &'static str,
-) -> Result<(), Refusal> {
+fn expect(request: &Request<Incoming>, method: Method, name: &'static str) -> Result<(), Refusal> {
     if *request.method() == method {
         return Ok(());
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod file;
 pub mod filters;
 pub mod metrics;
-pub mod router;
 pub mod publish;
+pub mod router;
 pub mod settings;
 pub mod timer;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -25,9 +25,7 @@
 
     /// Counts several.
     pub fn add_many(&self, result: &'static str, count: u64) {
-        self.0
-            .get_or_create(&ResultLabel { result })
-            .inc_by(count);
+        self.0.get_or_create(&ResultLabel { result }).inc_by(count);
     }
 }
 
@@ -120,7 +118,11 @@
         }
         let gauges = [
             ("requests_in_flight", "Requests in flight", &self.flying),
-            ("attempts_unknown", "Attempts with unknown end", &self.unknown),
+            (
+                "attempts_unknown",
+                "Attempts with unknown end",
+                &self.unknown,
+            ),
             ("revision_in_force", "Revision in force", &self.revision),
         ];
         for (name, help, gauge) in gauges {
--- a/crates/fleet/src/router.rs
+++ b/crates/fleet/src/router.rs
@@ -40,7 +40,7 @@
 use crate::settings::RouterSettings;
 use crate::settings::Settings;
 use crate::timer::Timer;
-use crate::timer::jitter;
+use crate::timer::random_part;
 
 const JOIN_WITHIN: Duration = Duration::from_secs(2);
 const JOIN_PAUSE: Duration = Duration::from_millis(100);
@@ -288,7 +288,8 @@
             self.front.upstreams.clone(),
             &self.timer,
             Arc::clone(&metrics),
-        );
+        )
+        .await?;
         let chain = Chain::new(Parts {
             settings: self.settings,
             router,
@@ -297,7 +298,7 @@
             client: self.client,
             allotment,
             bills,
-            abandoned: abandoned.await?,
+            abandoned,
             upstreams: self.front.upstreams.clone(),
             gate: self.front.gate.clone(),
             metrics,
@@ -326,7 +327,7 @@
                 Ok(reply) => log::error!("joining was answered with {reply:?}"),
                 Err(error) => log::debug!("not joined yet: {error}"),
             }
-            let pause = jitter(JOIN_PAUSE, &mut rand::rng());
+            let pause = random_part(JOIN_PAUSE);
             tokio::time::sleep(JOIN_PAUSE + pause).await;
         }
     }
--- a/crates/fleet/src/timer.rs
+++ b/crates/fleet/src/timer.rs
@@ -67,3 +67,8 @@
 pub fn jitter(period: Duration, rng: &mut impl Rng) -> Duration {
     period.mul_f64(rng.random::<f64>())
 }
+
+/// A random part of a period, out of the thread's own generator.
+pub fn random_part(period: Duration) -> Duration {
+    jitter(period, &mut rand::rng())
+}
--- a/crates/wire/src/convert/command.rs
+++ b/crates/wire/src/convert/command.rs
@@ -150,6 +150,7 @@
             holder: Some(from.holder.into()),
             prompt: from.prompt.0,
             generated: from.generated.0,
+            attempt: from.attempt,
         }
     }
 }
@@ -165,6 +166,7 @@
             holder: holder(from.holder, "Bill")?,
             prompt: Tokens(from.prompt),
             generated: Tokens(from.generated),
+            attempt: from.attempt,
         })
     }
 }
@@ -205,6 +207,7 @@
         Self {
             id: Some(from.id.into()),
             router: Some(from.router.into()),
+            nonce: from.nonce,
             end: Some(end),
         }
     }
@@ -230,6 +233,7 @@
         Ok(Self {
             id: request(from.id, "Conclude")?,
             router: router(from.router, "Conclude")?,
+            nonce: from.nonce,
             end,
         })
     }
--- a/crates/wire/src/convert/reply.rs
+++ b/crates/wire/src/convert/reply.rs
@@ -80,6 +80,7 @@
     fn from(from: command::Grant) -> Self {
         Self {
             budget: from.budget.to_string(),
+            seq: from.seq,
             granted: from.granted.0,
             exposure: from.exposure.0,
             recall: from.recall.0,
@@ -95,6 +96,7 @@
     fn try_from(from: proto::Grant) -> Result<Self, WireError> {
         Ok(Self {
             budget: from.budget.into(),
+            seq: from.seq,
             granted: Tokens(from.granted),
             exposure: Tokens(from.exposure),
             recall: Tokens(from.recall),
@@ -152,6 +154,7 @@
                 until: until.0,
             }),
             Refusal::Range => refusal::Kind::Range(proto::Done {}),
+            Refusal::Full => refusal::Kind::Full(proto::Done {}),
         };
         Self { kind: Some(kind) }
     }
@@ -180,6 +183,7 @@
                 until: Millis(led.until),
             },
             refusal::Kind::Range(_) => Self::Range,
+            refusal::Kind::Full(_) => Self::Full,
         })
     }
 }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -283,6 +283,8 @@
     pub prompt: u64,
     #[prost(uint64, tag = "6")]
     pub generated: u64,
+    #[prost(uint64, tag = "7")]
+    pub attempt: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Claim {
@@ -303,6 +305,8 @@
     pub id: ::core::option::Option<RequestId>,
     #[prost(message, optional, tag = "2")]
     pub router: ::core::option::Option<RouterId>,
+    #[prost(uint64, tag = "6")]
+    pub nonce: u64,
     #[prost(oneof = "conclude::End", tags = "3, 4, 5")]
     pub end: ::core::option::Option<conclude::End>,
 }
@@ -509,6 +513,8 @@
     pub unallotted: u64,
     #[prost(uint64, tag = "6")]
     pub spread: u64,
+    #[prost(uint64, tag = "7")]
+    pub seq: u64,
 }
 /// Whether each bill was merged into an earlier one.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -544,7 +550,7 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Refusal {
-    #[prost(oneof = "refusal::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "refusal::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: ::core::option::Option<refusal::Kind>,
 }
 /// Nested message and enum types in `Refusal`.
@@ -567,6 +573,8 @@
         Led(super::Led),
         #[prost(message, tag = "8")]
         Range(super::Done),
+        #[prost(message, tag = "9")]
+        Full(super::Done),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
