--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -32,8 +32,6 @@
 use crate::filters::attempt::Finish;
 use crate::filters::attempt::OpenError;
 use crate::filters::attempt::Passed;
-use crate::filters::attempt::ReadFault;
-use crate::filters::attempt::Reader;
 use crate::filters::attempt::Source;
 use crate::filters::choose::shed;
 use crate::filters::identify::Caller;
@@ -46,31 +44,28 @@
 use crate::filters::refusal::Ran;
 use crate::filters::refusal::Refusal;
 use crate::filters::render;
-use crate::timer::random_part;
 
 const ATTEMPTS: u32 = 3;
-const RESUMES: u32 = 2;
-const RESUME_PAUSE: Duration = Duration::from_millis(40);
 const FAIL_WITHIN: Duration = Duration::from_secs(2);
 const FIND_WITHIN: Duration = Duration::from_millis(50);
 
 /// One chat on its way.
 pub struct Run {
-    chain: Arc<Chain>,
+    pub(super) chain: Arc<Chain>,
     caller: Caller,
     identity: Identity,
     chat: Chat,
-    spec: ModelSpec,
-    deadline: Millis,
-    output: Output,
-    lease: Lease,
-    passed: Passed,
+    pub(super) spec: ModelSpec,
+    pub(super) deadline: Millis,
+    pub(super) output: Output,
+    pub(super) lease: Lease,
+    pub(super) passed: Passed,
     tried: Vec<Upstream>,
-    ran: Ran,
+    pub(super) ran: Ran,
 }
 
 /// Why a chat ends without a whole answer.
-enum Stop {
+pub(super) enum Stop {
     Gone,
     Refused(Refusal),
 }
@@ -88,7 +83,7 @@
 }
 
 /// Why an attempt did not give a whole answer.
-enum Miss {
+pub(super) enum Miss {
     /// Another upstream may be tried.
     Again(Refusal),
     /// The end of the chat.
@@ -96,18 +91,10 @@
 }
 
 /// An attempt that an upstream may be working on.
-struct Open {
-    pick: Pick,
-    held: Reservation,
-    id: Arc<str>,
-}
-
-/// How the reading of a stream ended.
-enum Relayed {
-    Whole(Finish),
-    Gone,
-    Late,
-    Fault(ReadFault),
+pub(super) struct Open {
+    pub(super) pick: Pick,
+    pub(super) held: Reservation,
+    pub(super) id: Arc<str>,
 }
 
 /// What [`Run`] is built from.
@@ -381,7 +368,7 @@
     }
 
     /// Ends an attempt with an unknown end.
-    fn lost(&mut self, open: Open, ended: Ended) -> Miss {
+    pub(super) fn lost(&mut self, open: Open, ended: Ended) -> Miss {
         self.ran = if self.passed.tokens > 0 {
             Ran::Ran
         } else {
@@ -394,7 +381,7 @@
         Miss::Again(Refusal::Failed(self.ran))
     }
 
-    fn abandon(&self, open: Open, ended: Ended) {
+    pub(super) fn abandon(&self, open: Open, ended: Ended) {
         self.chain.upstreams.end(open.pick.attempt, ended);
         self.chain.abandoned.add(Orphan {
             held: open.held,
@@ -406,128 +393,6 @@
         });
     }
 
-    async fn read(
-        &mut self,
-        mut source: Source,
-        open: Open,
-        mut progress: Progress,
-    ) -> Result<(Finish, Open), Miss> {
-        let mut reader = Reader::new(Arc::clone(&open.id));
-        let mut resumes = 0;
-        loop {
-            let relayed = self.relay(&mut source, &mut reader, &mut progress).await;
-            match relayed {
-                Relayed::Whole(finish) => {
-                    source.drain();
-                    self.chain.upstreams.end(open.pick.attempt, Ended::Whole);
-                    return Ok((finish, open));
-                }
-                Relayed::Gone => {
-                    self.abandon(open, Ended::Neutral);
-                    return Err(Miss::Stop(Stop::Gone));
-                }
-                Relayed::Late => return Err(self.lost(open, Ended::Late)),
-                Relayed::Fault(ReadFault::Cut) if resumes < RESUMES => {
-                    resumes += 1;
-                    match self.resume(&open, &mut reader).await {
-                        Some(resumed) => source = resumed,
-                        None => return Err(self.lost(open, Ended::Broken)),
-                    }
-                }
-                Relayed::Fault(ReadFault::Diverged) => {
-                    self.chain.metrics.retries.add("diverged");
-                    self.ran = Ran::Ran;
-                    self.abandon(open, Ended::Neutral);
-                    return Err(Miss::Stop(Refusal::Failed(Ran::Ran).into()));
-                }
-                Relayed::Fault(_) => return Err(self.lost(open, Ended::Broken)),
-            }
-        }
-    }
-
-    /// Opens the rest of a broken stream on the same upstream.
-    async fn resume(&self, open: &Open, reader: &mut Reader) -> Option<Source> {
-        tokio::time::sleep(random_part(RESUME_PAUSE)).await;
-        reader.rewind();
-        let within = self.left().min(Duration::from_millis(self.spec.between.0));
-        let client = &self.chain.client;
-        let address = open.pick.address;
-        let resumed = Source::resume(client, address, &open.id, reader.got(), within).await;
-        let result = if resumed.is_ok() {
-            "resumed"
-        } else {
-            "refused"
-        };
-        self.chain.metrics.resumes.add(result);
-        resumed.ok()
-    }
-
-    async fn relay(
-        &mut self,
-        source: &mut Source,
-        reader: &mut Reader,
-        progress: &mut Progress,
-    ) -> Relayed {
-        loop {
-            let due = progress.due().min(self.deadline);
-            let due = due.saturating_sub(self.chain.timer.now());
-            let next = tokio::select! {
-                biased;
-                next = source.next() => next,
-                () = self.output.gone() => {
-                    if self.lease.joined() {
-                        self.output.detach();
-                        continue;
-                    }
-                    return Relayed::Gone;
-                }
-                () = tokio::time::sleep(Duration::from_millis(due.0)) => return Relayed::Late,
-            };
-            let part = next.and_then(|whole| self.absorb(whole, reader, progress));
-            let part = match part {
-                Ok(part) => part,
-                Err(fault) => return Relayed::Fault(fault),
-            };
-            if let Some(stopped) = self.pass(part).await {
-                return stopped;
-            }
-            if let Some(mut finish) = reader.finish() {
-                finish.last = reader.renamed(finish.last, &self.passed);
-                return Relayed::Whole(finish);
-            }
-        }
-    }
-
-    fn absorb(
-        &mut self,
-        whole: Bytes,
-        reader: &mut Reader,
-        progress: &mut Progress,
-    ) -> Result<Bytes, ReadFault> {
-        let before = reader.got();
-        let part = reader.absorb(whole, &mut self.passed)?;
-        if reader.got() > before {
-            progress.token(self.chain.timer.now());
-        }
-        Ok(part)
-    }
-
-    async fn pass(&mut self, part: Bytes) -> Option<Relayed> {
-        if part.is_empty() || self.output.form() == Form::Json {
-            return None;
-        }
-        let left = self.left();
-        match tokio::time::timeout(left, self.output.pass(part)).await {
-            Ok(Ok(())) => None,
-            Ok(Err(Gone)) if self.lease.joined() => {
-                self.output.detach();
-                None
-            }
-            Ok(Err(Gone)) => Some(Relayed::Gone),
-            Err(_) => Some(Relayed::Late),
-        }
-    }
-
     /// Has the bill made safe, and gives the end of the answer then.
     async fn conclude(&mut self, finish: Finish, open: Open) -> Result<Bytes, Stop> {
         let bill = self.bill(&finish, open.pick.attempt);
@@ -568,7 +433,7 @@
         }
     }
 
-    fn left(&self) -> Duration {
+    pub(super) fn left(&self) -> Duration {
         let left = self.deadline.saturating_sub(self.chain.timer.now());
         Duration::from_millis(left.0)
     }
--- a/crates/fleet/src/filters/mod.rs
+++ b/crates/fleet/src/filters/mod.rs
@@ -15,6 +15,7 @@
 pub mod output;
 pub mod parse;
 pub mod refusal;
+pub mod relay;
 pub mod render;
 pub mod route;
 pub mod sse;
