--- a/crates/fleet/src/edges/rpc/mod.rs
+++ b/crates/fleet/src/edges/rpc/mod.rs
@@ -1,7 +1,8 @@
 //! RPC between the processes of the system.
 
 mod client;
-pub mod router;
+
+pub mod peer;
 
 pub use client::ControlClient;
 pub use client::ControlError;
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -250,7 +250,9 @@
     };
     let response = client.send(call, PATIENCE).await.unwrap();
     let (head, body) = response.into_parts();
-    let body = tokio::time::timeout(PATIENCE, body.collect()).await.unwrap();
+    let body = tokio::time::timeout(PATIENCE, body.collect())
+        .await
+        .unwrap();
     Answer {
         status: head.status,
         headers: head.headers,
@@ -280,7 +282,9 @@
 /// The text of the answer to [`chat`].
 pub fn expected(word: &str, tokens: u64) -> String {
     let prompt = format!("{word} tokens={tokens}");
-    chestnutnotch_standin::text::answer(&prompt, 1_024).0.concat()
+    chestnutnotch_standin::text::answer(&prompt, 1_024)
+        .0
+        .concat()
 }
 
 fn settings(control: SocketAddr) -> Settings {
--- a/crates/wire/src/convert/command.rs
+++ b/crates/wire/src/convert/command.rs
@@ -207,8 +207,8 @@
         Self {
             id: Some(from.id.into()),
             router: Some(from.router.into()),
-            nonce: from.nonce,
             end: Some(end),
+            nonce: from.nonce,
         }
     }
 }
--- a/crates/wire/src/convert/reply.rs
+++ b/crates/wire/src/convert/reply.rs
@@ -80,12 +80,12 @@
     fn from(from: command::Grant) -> Self {
         Self {
             budget: from.budget.to_string(),
-            seq: from.seq,
             granted: from.granted.0,
             exposure: from.exposure.0,
             recall: from.recall.0,
             unallotted: from.unallotted.0,
             spread: from.spread.0,
+            seq: from.seq,
         }
     }
 }
@@ -96,12 +96,12 @@
     fn try_from(from: proto::Grant) -> Result<Self, WireError> {
         Ok(Self {
             budget: from.budget.into(),
-            seq: from.seq,
             granted: Tokens(from.granted),
             exposure: Tokens(from.exposure),
             recall: Tokens(from.recall),
             unallotted: Tokens(from.unallotted),
             spread: Tokens(from.spread),
+            seq: from.seq,
         })
     }
 }
@@ -148,6 +148,7 @@
             Refusal::NoBudget(budget) => refusal::Kind::NoBudget(budget.to_string()),
             Refusal::Invalid(error) => refusal::Kind::Invalid(error.into()),
             Refusal::Closed(holder) => refusal::Kind::Closed(holder.into()),
+            Refusal::Open(holder) => refusal::Kind::Open(holder.into()),
             Refusal::NoClaim => refusal::Kind::NoClaim(proto::Done {}),
             Refusal::Led { router, until } => refusal::Kind::Led(proto::Led {
                 router: Some(router.into()),
@@ -177,6 +178,7 @@
             refusal::Kind::NoBudget(budget) => Self::NoBudget(budget.into()),
             refusal::Kind::Invalid(error) => Self::Invalid(error.try_into()?),
             refusal::Kind::Closed(holder) => Self::Closed(holder.try_into()?),
+            refusal::Kind::Open(holder) => Self::Open(holder.try_into()?),
             refusal::Kind::NoClaim(_) => Self::NoClaim,
             refusal::Kind::Led(led) => Self::Led {
                 router: router(led.router, "Led")?,
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -550,7 +550,7 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Refusal {
-    #[prost(oneof = "refusal::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "refusal::Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub kind: ::core::option::Option<refusal::Kind>,
 }
 /// Nested message and enum types in `Refusal`.
@@ -575,6 +575,8 @@
         Range(super::Done),
         #[prost(message, tag = "9")]
         Full(super::Done),
+        #[prost(message, tag = "10")]
+        Open(super::Holder),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
