--- a/crates/fleet/src/edges/rpc/mod.rs
+++ b/crates/fleet/src/edges/rpc/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 
 pub mod peer;
+pub mod router;
 
 pub use client::ControlClient;
 pub use client::ControlError;
