A quarantined retry says so, not upstream_failed; a crash in the middle of a stream

The refusal of a third run came out as upstream_failed, since a refusal after an attempt was replaced as a whole. Quarantine carries whether anything ran, so it stands.

--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -260,9 +260,9 @@
 
     /// A refusal before any attempt stands; after one that may have run it must not say "not run".
     fn truthful(&self, refusal: Refusal) -> Refusal {
-        match self.ran {
-            Ran::NotRun => refusal,
-            ran => Refusal::Failed(ran),
+        match (self.ran, refusal) {
+            (Ran::NotRun, refusal) | (_, refusal @ Refusal::Quarantined { .. }) => refusal,
+            (ran, _) => Refusal::Failed(ran),
         }
     }
 
--- a/crates/fleet/tests/router_chat.rs
+++ b/crates/fleet/tests/router_chat.rs
@@ -98,7 +98,10 @@
         };
         bench.engine(0, faults).await;
         let answer = bench.chat(&[], &chat("boots", 8, true)).await;
-        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(
+            (answer.status, answer.code()),
+            (StatusCode::BAD_GATEWAY, "upstream_failed".into())
+        );
         assert_eq!(answer.ran(), "unknown");
         assert!(bench.control.state().bills.is_empty());
     }
@@ -127,25 +130,29 @@
     crashed_engine_is_replaced_mid_stream,
     PREPAID,
     |mut bench| async move {
-        bench.engine(20, Faults::default()).await;
+        let faults = Faults {
+            crash: Some("ember".into()),
+            ..Faults::default()
+        };
+        bench.engine(20, faults.clone()).await;
+        bench.engine(20, faults).await;
         let body = chat("boots", 40, true);
-        let first = async {
+        let asked = async {
             let answer = bench.chat(&[], &body).await;
             assert!(answer.is_whole(), "{answer:?}");
             assert_eq!(answer.streamed(), expected("boots", 40));
             let ids: Vec<_> = answer.events().iter().map(|e| e["id"].clone()).collect();
             assert!(ids.iter().all(|id| *id == ids[0]));
         };
-        let fault = async {
-            tokio::time::sleep(Duration::from_millis(200)).await;
-            // Only the crashing request itself ends the process.
-            let faults = Faults {
-                crash: Some("ember".into()),
-                ..Faults::default()
-            };
-            bench.faults(0, &faults).await;
+        let crash = async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            let first = bench.stats(0).await.running == 1;
+            bench.crash(if first { 0 } else { 1 }, "ember").await;
         };
-        tokio::join!(first, fault);
+        tokio::join!(asked, crash);
+        assert_eq!(bench.control.state().bills.len(), 1);
+        assert_eq!(bench.count("resumes", "refused").await, 1);
+        assert_eq!(bench.count("retries", "granted").await, 1);
     }
 );
 
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -218,6 +218,18 @@
         send(&self.client, address, Method::POST, "/faults", &[], body).await;
     }
 
+    /// Ends an upstream whose crash word is `word`.
+    pub async fn crash(&self, index: usize, word: &str) {
+        let call = Call {
+            address: self.upstreams[index].address,
+            method: Method::POST,
+            path: "/v1/chat/completions".to_owned(),
+            headers: HeaderMap::new(),
+            body: Bytes::from(chat(word, 1, true).to_string()),
+        };
+        assert!(self.client.send(call, PATIENCE).await.is_err());
+    }
+
     /// A counter out of the metrics.
     pub async fn count(&self, name: &str, result: &str) -> u64 {
         let text = self.get("/metrics").await.body;
