--- a/crates/fleet/src/controllers/mod.rs
+++ b/crates/fleet/src/controllers/mod.rs
@@ -7,6 +7,7 @@
 pub mod gate;
 pub mod lifecycle;
 pub mod replica;
+pub mod spool;
 pub mod spread;
 pub mod ticks;
 pub mod upstreams;
--- a/crates/fleet/tests/router_chat.rs
+++ b/crates/fleet/tests/router_chat.rs
@@ -1,4 +1,5 @@
 //! Chats through a router, with faults of the engine and of the control replicas.
+#![allow(clippy::panic, clippy::unwrap_used)]
 
 mod support;
 
@@ -240,8 +241,8 @@
         let bench = &bench;
         let ask = async |number: usize| {
             let word = format!("garment{number}");
-            let answer = bench.chat(&[], &chat(&word, 20, number % 2 == 0)).await;
-            let text = if number % 2 == 0 {
+            let answer = bench.chat(&[], &chat(&word, 20, number.is_multiple_of(2))).await;
+            let text = if number.is_multiple_of(2) {
                 answer.streamed()
             } else {
                 answer.text()
--- a/crates/fleet/tests/support/control.rs
+++ b/crates/fleet/tests/support/control.rs
@@ -1,4 +1,5 @@
 //! A control process that answers out of memory, with switchable faults.
+#![allow(clippy::panic, clippy::unwrap_used)]
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! A router with stand-in upstreams and a control process that answers out of memory.
-
+#![allow(clippy::panic, clippy::unwrap_used)]
 #![allow(dead_code)]
 
 pub mod control;
