--- a/crates/core/src/order/mod.rs
+++ b/crates/core/src/order/mod.rs
@@ -9,6 +9,8 @@
 pub use giver::GiverRules;
 pub use giver::Leave;
 pub use giver::NoLeave;
+pub use placement::Demand;
+pub use placement::Engine;
 pub use placement::Order;
 pub use placement::Placement;
 pub use placement::PlacementRules;
