--- a/crates/core/src/upstream/row.rs
+++ b/crates/core/src/upstream/row.rs
@@ -122,6 +122,13 @@
         self.breaker.success(now);
     }
 
+    /// It gave a whole answer. That says nothing of whether it leaves, nor of a break that came
+    /// after the last byte was sent, so it stays as stale as it was.
+    pub fn worked(&mut self, now: Millis) {
+        self.silent = false;
+        self.breaker.success(now);
+    }
+
     pub fn offers(&self, kind: &Kind) -> bool {
         match (&self.said.offer, kind) {
             (Offer::Models(all), Kind::Model(model, adapter)) => all
@@ -132,8 +139,9 @@
         }
     }
 
+    /// Whether it is asked before use: it was not heard of lately, or there is reason to doubt it.
     pub fn stale(&self, now: Millis, rules: &Rules) -> bool {
-        !self.proven || now >= self.heard + rules.stale
+        !self.proven || self.doubt || now >= self.heard + rules.stale
     }
 
     /// Requests that run on it, as far as known.
