--- a/crates/core/src/replica/append.rs
+++ b/crates/core/src/replica/append.rs
@@ -139,9 +139,11 @@
                 None => return,
             }
         } else {
+            // What is dropped was committed, so the leader shares it.
+            let hint = self.log.at_most(prev.index, prev.term);
             Outcome::Conflict {
                 prev: prev.index,
-                hint: self.log.at_most(prev.index, prev.term),
+                hint: hint.unwrap_or(self.log.base()),
             }
         };
         let message = Message::Appended(Appended {
@@ -210,8 +212,10 @@
             Outcome::Conflict { prev, hint } => {
                 let current = prev.next() == peer.next || matches!(peer.flow, Flow::Stream(_));
                 if current && prev > peer.matched {
+                    // A shared entry that is dropped here is sent in a snapshot.
+                    let dropped = self.log.base().index.saturating_sub(Index(1));
                     let shared = self.log.at_most(hint.index, hint.term);
-                    peer.conflicts(shared.index.min(hint.index));
+                    peer.conflicts(shared.map_or(dropped, |at| at.index));
                 }
             }
         }
--- a/crates/core/src/replica/change.rs
+++ b/crates/core/src/replica/change.rs
@@ -14,7 +14,7 @@
 const MEMBERS: usize = 16;
 
 impl Node {
-    /// Adds a replica without state as a learner. An older learner at its address goes.
+    /// Adds a replica from outside as a learner. An older learner at its address goes.
     pub(super) fn greet(&mut self, id: ReplicaId, address: SocketAddr, out: &mut Vec<Output>) {
         if !self.may_change() || self.members().0.contains_key(&id) {
             return;
--- a/crates/core/src/replica/input.rs
+++ b/crates/core/src/replica/input.rs
@@ -45,7 +45,7 @@
         /// Entries before it to keep for followers that are a little behind.
         keep: u64,
     },
-    /// A replica without state greets from this address and would join.
+    /// A replica outside the group greets from this address and would join.
     Greet {
         /// Its identity.
         id: ReplicaId,
--- a/crates/core/src/replica/log.rs
+++ b/crates/core/src/replica/log.rs
@@ -160,17 +160,14 @@
         &rest[..count.max(1).min(rest.len())]
     }
 
-    /// Highest position at or below `index` whose term is at most `term`.
-    pub fn at_most(&self, index: Index, term: Term) -> Position {
+    /// Highest position at or below `index` whose term is at most `term`; none if it is dropped.
+    pub fn at_most(&self, index: Index, term: Term) -> Option<Position> {
         let from = self
             .entries
             .partition_point(|entry| entry.at.index <= index);
-        self.entries[..from]
-            .iter()
-            .rev()
-            .map(|entry| entry.at)
-            .find(|at| at.term <= term)
-            .unwrap_or(self.base)
+        let kept = self.entries[..from].iter().rev().map(|entry| entry.at);
+        kept.chain([self.base])
+            .find(|at| at.term <= term && at.index <= index)
     }
 
     /// Adds an entry behind the last one.
--- a/crates/core/src/replica/node.rs
+++ b/crates/core/src/replica/node.rs
@@ -180,6 +180,15 @@
         self.log.last().index == Index::ZERO && self.members().0.is_empty()
     }
 
+    /// Whether the node has to ask to be taken into a group: it does not vote and hears no leader.
+    /// It may hold state: a snapshot can be older than the entry that adds the node, and that entry
+    /// can be lost with the leader that appended it.
+    pub fn outside(&self) -> bool {
+        let members = self.members();
+        let follows = self.heard && members.0.contains_key(&self.id);
+        !(follows || members.votes(self.id))
+    }
+
     fn receive(&mut self, from: ReplicaId, message: Message, out: &mut Vec<Output>) {
         match &message {
             Message::PreVote(ballot) => return self.on_pre_vote(from, *ballot, out),
--- a/crates/core/tests/replica_model.rs
+++ b/crates/core/tests/replica_model.rs
@@ -129,8 +129,8 @@
 }
 
 fn greet(world: &mut World, id: ReplicaId, address: std::net::SocketAddr) {
-    let blank = world.hosts.get(&id).is_some_and(|host| host.node.blank());
-    if blank {
+    let outside = world.hosts.get(&id).is_some_and(|host| host.node.outside());
+    if outside {
         let leaders: Vec<_> = world.hosts.iter().filter(|(_, h)| h.node.leads()).collect();
         let Some(leader) = leaders.last().map(|(id, _)| **id) else {
             return;
--- a/crates/fleet/src/controllers/replica/actor.rs
+++ b/crates/fleet/src/controllers/replica/actor.rs
@@ -316,7 +316,7 @@
             }
             Inbound::Greet(hello, reply) => {
                 let _ = reply.send(self.hello());
-                if hello.blank && hello.id != self.replica.node().id() {
+                if hello.joins && hello.id != self.replica.node().id() {
                     self.step(Input::Greet {
                         id: hello.id,
                         address: hello.address,
@@ -330,6 +330,7 @@
         Hello {
             id: self.replica.node().id(),
             blank: self.replica.node().blank(),
+            joins: self.replica.node().outside(),
             address: self.address,
         }
     }
@@ -577,12 +578,12 @@
         }
     }
 
-    /// Greets the peers while this replica knows of no group, or cannot reach a member.
+    /// Greets the peers while this replica is outside the group, or cannot reach a member.
     fn greet(&mut self) {
         let node = self.replica.node();
         let own = node.id();
         let lost = |id: &ReplicaId| *id != own && self.address_of(*id).is_none();
-        let needed = node.blank() || node.members().0.keys().any(lost);
+        let needed = node.outside() || node.members().0.keys().any(lost);
         let now = self.timer.now();
         if !needed || self.greeting.running || now < self.greeting.next {
             return;
--- a/crates/fleet/src/edges/rpc/peer.rs
+++ b/crates/fleet/src/edges/rpc/peer.rs
@@ -93,6 +93,8 @@
     pub id: ReplicaId,
     /// Whether it knows of no group.
     pub blank: bool,
+    /// Whether it asks to be taken into the group.
+    pub joins: bool,
     /// Address it serves on.
     pub address: SocketAddr,
 }
@@ -159,6 +161,7 @@
     Some(Hello {
         id: ReplicaId(greeting.replica),
         blank: greeting.blank,
+        joins: greeting.joins,
         address: greeting.address.parse().ok()?,
     })
 }
@@ -167,6 +170,7 @@
     proto::Greeting {
         replica: hello.id.0,
         blank: hello.blank,
+        joins: hello.joins,
         address: hello.address.to_string(),
     }
 }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -18,6 +18,9 @@
     /// Address that the sender serves on.
     #[prost(string, tag = "3")]
     pub address: ::prost::alloc::string::String,
+    /// Whether the sender asks to be taken into the group.
+    #[prost(bool, tag = "4")]
+    pub joins: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SpreadRequest {
