--- a/crates/fleet/src/publish/mod.rs
+++ b/crates/fleet/src/publish/mod.rs
@@ -151,7 +151,7 @@
     ///
     /// [`PublishError::Whole`].
     pub fn check(&self) -> Result<(), PublishError> {
-        check(&self.document).map_err(|source| PublishError::Whole {
+        self.document.check().map_err(|source| PublishError::Whole {
             place: self.place(&source),
             source,
         })
@@ -216,7 +216,3 @@
         .as_ref()
         .map_or_else(String::new, |place| format!("{place}: "))
 }
-
-fn check(_document: &Document) -> Result<(), ConfigError> {
-    Ok(())
-}
--- a/crates/fleet/tests/publish.rs
+++ b/crates/fleet/tests/publish.rs
@@ -9,6 +9,7 @@
 use chestnutnotch::publish::Collected;
 use chestnutnotch::publish::PublishError;
 use chestnutnotch::settings::Settings;
+use chestnutnotch_core::config::ConfigError;
 
 const GOOD: &str = "[[budget]]\nname = \"desks\"\nprepaid = 1000\n\n[[model]]\nname = \"chat\"\n";
 
@@ -56,6 +57,20 @@
     assert_eq!(place.to_string(), "second.toml:2");
 }
 
+#[test]
+fn dangling_budget() {
+    let text = "\n[[workspace]]\nname = \"lodge\"\nbudget = \"none\"\nkeys = []\n";
+    let error = add(text).err();
+    let Some(PublishError::Whole { place, source }) = error else {
+        panic!("{error:?}");
+    };
+    assert_eq!(
+        place.map(|place| place.to_string()).as_deref(),
+        Some("second.toml:2")
+    );
+    assert!(matches!(source, ConfigError::Dangling { .. }), "{source}");
+}
+
 #[test]
 fn settings_name_the_nearest_key() {
     let text = "control = []\n[host]\nname = \"a\"\ncenter = \"b\"\n";
