--- /dev/null
+++ b/crates/cli/src/bin/standin.rs
@@ -0,0 +1,21 @@
+//! A stand-in upstream as a process.
+
+use std::process::ExitCode;
+
+use chestnutnotch_cli::CliError;
+use chestnutnotch_cli::daemon;
+use chestnutnotch_standin::End;
+use chestnutnotch_standin::Settings;
+use chestnutnotch_standin::Standin;
+
+fn main() -> ExitCode {
+    daemon::run(serve)
+}
+
+async fn serve(settings: Settings) -> Result<(), CliError> {
+    let stop = daemon::stopped()?;
+    match Standin::bind(settings).await?.run(stop).await {
+        End::Stopped => Ok(()),
+        End::Crashed => Err(daemon::ServeError::Crashed.into()),
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/fleet/main.rs
@@ -0,0 +1,11 @@
+//! Whole fleets of real processes on loopback, and the failures they have to bear.
+
+#[macro_use]
+mod harness;
+
+mod budgets;
+mod control;
+mod operators;
+mod routers;
+mod serve;
+mod upstreams;
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -58,6 +58,28 @@
     pub faults: Faults,
 }
 
+impl Settings {
+    /// Defaults for all but what identifies it. It still needs models or a service.
+    pub fn new(name: &str, listen: SocketAddr, centre: &str) -> Self {
+        Self {
+            name: name.into(),
+            listen,
+            centre: centre.into(),
+            routers: Vec::new(),
+            models: Vec::new(),
+            service: None,
+            stock: BTreeMap::new(),
+            slots: slots(),
+            queue: queue(),
+            delay: 0,
+            announce: announce(),
+            linger: linger(),
+            incarnation: None,
+            faults: Faults::default(),
+        }
+    }
+}
+
 const SLOTS: u32 = 64;
 const QUEUE: u32 = 4_096;
 const ANNOUNCE_MILLIS: u64 = 500;
