--- a/crates/cli/src/bin/control.rs
+++ b/crates/cli/src/bin/control.rs
@@ -2,7 +2,9 @@
 
 use std::process::ExitCode;
 
+use chestnutnotch::control;
 use chestnutnotch::settings::Settings;
+use chestnutnotch::timer::Timer;
 use chestnutnotch_cli::CliError;
 use chestnutnotch_cli::daemon;
 
@@ -12,7 +14,6 @@
 
 async fn serve(settings: Settings) -> Result<(), CliError> {
     let stop = daemon::stopped()?;
-    drop(settings);
-    stop.await;
+    control::run(settings, Timer::new(), stop).await?;
     Ok(())
 }
--- a/crates/cli/src/daemon.rs
+++ b/crates/cli/src/daemon.rs
@@ -24,9 +24,6 @@
 /// Why a daemon ended.
 #[derive(Debug, Error)]
 pub enum ServeError {
-    /// A table that this kind of process needs is missing.
-    #[error("the settings have no [{0}] table")]
-    NoTable(&'static str),
     /// The runtime or the signals could not be set up.
     #[error("can't start: {0}")]
     Start(std::io::Error),
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
+use chestnutnotch::control;
 use chestnutnotch::edges::rpc::ControlError;
 use chestnutnotch::file::FileError;
 use chestnutnotch::publish::PublishError;
+use chestnutnotch::router::RouterError;
 use chestnutnotch_core::command::Refusal;
 use chestnutnotch_core::id::Budget;
 use chestnutnotch_core::id::SubmissionId;
@@ -80,6 +82,12 @@
     /// A daemon could not start or go on.
     #[error(transparent)]
     Serve(#[from] ServeError),
+    /// A control process could not start or go on.
+    #[error(transparent)]
+    Replica(#[from] control::ServeError),
+    /// A router could not start or go on.
+    #[error(transparent)]
+    Router(#[from] RouterError),
 }
 
 /// Anything that has no code of its own.
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -78,6 +78,34 @@
     pub drain: u64,
 }
 
+impl ReplicaSettings {
+    /// Defaults for all but the address and the folder.
+    pub fn new(listen: SocketAddr, data: PathBuf) -> Self {
+        Self {
+            listen,
+            data,
+            election: election(),
+            heartbeat: heartbeat(),
+            snapshot: snapshot(),
+        }
+    }
+}
+
+impl RouterSettings {
+    /// Defaults for all but the addresses.
+    pub fn new(listen: SocketAddr, rpc: SocketAddr) -> Self {
+        Self {
+            listen,
+            rpc,
+            peers: Vec::new(),
+            body: body(),
+            record: record(),
+            draw: draw(),
+            drain: drain(),
+        }
+    }
+}
+
 const ELECTION_MILLIS: u64 = 400;
 const HEARTBEAT_MILLIS: u64 = 80;
 const SNAPSHOT_ENTRIES: u64 = 10_000;
