--- a/crates/fleet/src/controllers/config.rs
+++ b/crates/fleet/src/controllers/config.rs
@@ -1,6 +1,7 @@
 //! The configuration in force at this router: the highest revision heard, indexed for lookups.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use chestnutnotch_core::config::Accepted;
 use chestnutnotch_core::config::ModelSpec;
@@ -10,7 +11,9 @@
 use chestnutnotch_core::id::Service;
 use chestnutnotch_core::id::Workspace;
 use chestnutnotch_core::map::Map;
+use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::unit::Revision;
+use chestnutnotch_wire::proto;
 use ractor::Actor;
 use ractor::ActorProcessingErr;
 use ractor::ActorRef;
@@ -20,9 +23,14 @@
 use subtle::ConstantTimeEq;
 use tokio::sync::watch;
 
+use crate::controllers::ticks;
 use crate::edges::rpc::ControlClient;
 use crate::metrics::Metrics;
+use crate::settings::HostSettings;
+use crate::timer::Timer;
 
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+const REPORT_WITHIN: Duration = Duration::from_millis(800);
 const HASH_BYTES: usize = 32;
 
 /// A configuration with indexes over it.
@@ -131,6 +139,7 @@
 #[derive(Clone, Debug)]
 pub struct Config {
     current: watch::Receiver<Option<Arc<InForce>>>,
+    actor: ActorRef<Message>,
 }
 
 impl Config {
@@ -139,25 +148,35 @@
     /// # Errors
     ///
     /// If the actor does not start.
-    pub async fn start(control: ControlClient, metrics: Arc<Metrics>) -> Result<Self, SpawnErr> {
+    pub async fn start(
+        host: &HostSettings,
+        control: ControlClient,
+        timer: &Timer,
+        metrics: Arc<Metrics>,
+    ) -> Result<Self, SpawnErr> {
         let (tx, current) = watch::channel(None);
-        let mut source = control.watch();
-        let state = State { tx, metrics };
+        let source = control.watch();
+        let report = proto::ReportRequest {
+            host: host.name.to_string(),
+            centre: host.centre.to_string(),
+            ..proto::ReportRequest::default()
+        };
+        let state = State {
+            tx,
+            metrics,
+            control,
+            report,
+        };
         let (actor, _) = Actor::spawn(None, ConfigActor, state).await?;
-        tokio::spawn(async move {
-            loop {
-                let news = source.borrow_and_update().clone();
-                if let Some(accepted) = news
-                    && actor.cast(Heard(accepted)).is_err()
-                {
-                    return;
-                }
-                if source.changed().await.is_err() {
-                    return;
-                }
-            }
-        });
-        Ok(Self { current })
+        tokio::spawn(listen(source, actor.clone()));
+        ticks::forward(timer, REPORT_PERIOD, actor.clone(), || Message::Report);
+        Ok(Self { current, actor })
+    }
+
+    /// Says as which start of the host this router reports.
+    pub fn joined(&self, incarnation: Incarnation) {
+        // Without the actor the process is ending.
+        let _ = self.actor.cast(Message::Joined(incarnation));
     }
 
     /// The configuration in force; none until a quorum has confirmed one.
@@ -173,23 +192,44 @@
     }
 }
 
+/// Passes each configuration on to the actor.
+async fn listen(mut source: watch::Receiver<Option<Arc<Accepted>>>, actor: ActorRef<Message>) {
+    loop {
+        let news = source.borrow_and_update().clone();
+        if let Some(accepted) = news
+            && actor.cast(Message::Heard(accepted)).is_err()
+        {
+            return;
+        }
+        if source.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 struct ConfigActor;
 
-struct Heard(Arc<Accepted>);
+enum Message {
+    Heard(Arc<Accepted>),
+    Joined(Incarnation),
+    Report,
+}
 
 struct State {
     tx: watch::Sender<Option<Arc<InForce>>>,
     metrics: Arc<Metrics>,
+    control: ControlClient,
+    report: proto::ReportRequest,
 }
 
 impl Actor for ConfigActor {
-    type Msg = Heard;
+    type Msg = Message;
     type State = State;
     type Arguments = State;
 
     async fn pre_start(
         &self,
-        _myself: ActorRef<Heard>,
+        _myself: ActorRef<Message>,
         state: State,
     ) -> Result<State, ActorProcessingErr> {
         Ok(state)
@@ -197,21 +237,50 @@
 
     async fn handle(
         &self,
-        _myself: ActorRef<Heard>,
-        heard: Heard,
+        _myself: ActorRef<Message>,
+        message: Message,
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
-        let revision = heard.0.revision;
-        let newer = match state.tx.borrow().as_ref() {
+        match message {
+            Message::Heard(accepted) => state.heard(accepted),
+            Message::Joined(incarnation) => state.report.incarnation = incarnation.0,
+            Message::Report => state.send(),
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    /// Puts a configuration in force if it is newer. A lower revision never replaces a higher one.
+    fn heard(&mut self, accepted: Arc<Accepted>) {
+        let revision = accepted.revision;
+        self.report.received = self.report.received.max(revision.0);
+        let newer = match self.tx.borrow().as_ref() {
             Some(current) => revision > current.revision(),
             None => true,
         };
         if !newer {
-            return Ok(());
+            return;
         }
-        state.tx.send_replace(Some(Arc::new(InForce::new(heard.0))));
-        state.metrics.revision.set(revision.0 as i64);
+        let indexed = Arc::new(InForce::new(accepted));
+        self.report.validated = revision.0;
+        self.tx.send_replace(Some(indexed));
+        self.report.in_force = revision.0;
+        self.metrics.revision.set(revision.0 as i64);
         log::info!("revision {revision} is in force");
-        Ok(())
+        self.send();
+    }
+
+    /// Reports to the control replicas, which show it in `status`.
+    fn send(&self) {
+        if self.report.incarnation == 0 {
+            return;
+        }
+        let control = self.control.clone();
+        let report = self.report.clone();
+        tokio::spawn(async move {
+            // A report that is lost is made up for by the next one.
+            let _ = control.report(report, REPORT_WITHIN).await;
+        });
     }
 }
--- a/crates/fleet/src/router.rs
+++ b/crates/fleet/src/router.rs
@@ -249,7 +249,7 @@
         );
         let front = Front {
             chain: OnceLock::new(),
-            config: Config::start(control.clone(), Arc::clone(&metrics)).await?,
+            config: Config::start(&host, control.clone(), &timer, Arc::clone(&metrics)).await?,
             lifecycle: Lifecycle::new(Arc::clone(&metrics)),
             gate: Gate::start(upstreams.clone(), timer.clone(), Arc::clone(&metrics)).await?,
             spread: spread.await?,
@@ -270,6 +270,7 @@
     async fn join(self, nonce: u64) -> Result<(), RouterError> {
         let router = self.incarnation(nonce).await;
         log::info!("joined as {router}");
+        self.front.config.joined(router.incarnation);
         let metrics = Arc::clone(&self.front.metrics);
         let allotment = Allotment::start(allotment::Parts {
             purse: Purse::new(Holder::Router(router.clone())),
--- a/crates/fleet/tests/router_chat.rs
+++ b/crates/fleet/tests/router_chat.rs
@@ -241,7 +241,9 @@
         let bench = &bench;
         let ask = async |number: usize| {
             let word = format!("garment{number}");
-            let answer = bench.chat(&[], &chat(&word, 20, number.is_multiple_of(2))).await;
+            let answer = bench
+                .chat(&[], &chat(&word, 20, number.is_multiple_of(2)))
+                .await;
             let text = if number.is_multiple_of(2) {
                 answer.streamed()
             } else {
