--- a/crates/fleet/src/controllers/allotment.rs
+++ b/crates/fleet/src/controllers/allotment.rs
@@ -39,9 +39,9 @@
 
 const DRAW_WITHIN: Duration = Duration::from_millis(500);
 const LEAVE_WITHIN: Duration = Duration::from_secs(3);
-const ROUNDS: u32 = 10;
+const WAIT: Millis = Millis(3_000);
 const FIRST_PAUSE: Duration = Duration::from_millis(4);
-const MOST_PAUSE: Duration = Duration::from_millis(250);
+const MOST_PAUSE: Duration = Duration::from_millis(200);
 
 /// A handle on the purse of this router. Cheap to clone.
 #[derive(Clone, Debug)]
@@ -122,13 +122,15 @@
     ) -> Result<Reservation, Refusal> {
         let mut rounds = self.rounds.clone();
         let mut pause = FIRST_PAUSE;
-        for number in 0..ROUNDS {
+        let mut waited = false;
+        let until = until.min(self.timer.now() + WAIT);
+        loop {
             rounds.mark_unchanged();
             let now = self.timer.now();
             match self.purse().reserve(now, budget, worst) {
                 Ok(held) => {
-                    let waited = if number == 0 { "at_once" } else { "after_wait" };
-                    self.metrics.reservations.add(waited);
+                    let word = if waited { "after_wait" } else { "at_once" };
+                    self.metrics.reservations.add(word);
                     return Ok(held);
                 }
                 Err(Short::Spent) => {
@@ -144,10 +146,11 @@
             self.hurry();
             // Without an answer in time, the next round tries again.
             let _ = tokio::time::timeout(left.min(DRAW_WITHIN), rounds.changed()).await;
-            if number > 0 {
+            if waited {
                 tokio::time::sleep(random_part(pause.min(left))).await;
                 pause = (pause * 2).min(MOST_PAUSE);
             }
+            waited = true;
         }
         self.metrics.reservations.add("short");
         if rounds.borrow().answered {
--- a/crates/fleet/src/controllers/bills.rs
+++ b/crates/fleet/src/controllers/bills.rs
@@ -226,22 +226,16 @@
         }
     }
 
+    /// Ends the reservation. A merged bill settles it like any other: the ledger itself counts the
+    /// tokens of the second run as wasted.
     fn settle(&self, due: Due, saved: Saved) {
+        self.metrics.bills.add(match saved {
+            Saved::Recorded => "recorded",
+            Saved::Spooled => "spooled",
+            Saved::Merged => "merged",
+        });
         let produced = due.bill.prompt + due.bill.generated;
-        match saved {
-            Saved::Recorded => {
-                self.metrics.bills.add("recorded");
-                self.allotment.settle(due.held, produced, Tokens::ZERO);
-            }
-            Saved::Spooled => {
-                self.metrics.bills.add("spooled");
-                self.allotment.settle(due.held, produced, Tokens::ZERO);
-            }
-            Saved::Merged => {
-                self.metrics.bills.add("merged");
-                self.allotment.settle(due.held, Tokens::ZERO, produced);
-            }
-        }
+        self.allotment.settle(due.held, produced, Tokens::ZERO);
     }
 }
 
