Exhaustive searches of budgets, claims and configuration

Each specification drives the real machine, purses and followers; each states its bounds and what it leaves out.

--- a/crates/core/src/claim/register.rs
+++ b/crates/core/src/claim/register.rs
@@ -1,5 +1,6 @@
 //! All calls within the horizon.
 
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 use serde::Deserialize;
@@ -36,8 +37,8 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Claims {
     entries: Map<RequestId, Entry>,
-    /// Calls by the time they were first seen.
-    order: VecDeque<(Millis, RequestId)>,
+    /// Calls by the time at which they were last looked at.
+    order: BTreeSet<(Millis, RequestId)>,
     /// Answered calls, oldest first.
     answers: VecDeque<RequestId>,
     bytes: usize,
@@ -102,7 +103,7 @@
     }
 
     fn insert(&mut self, id: RequestId, entry: Entry) {
-        self.order.push_back((entry.at, id.clone()));
+        self.order.insert((entry.at, id.clone()));
         self.entries.insert(id, entry);
     }
 
@@ -189,13 +190,13 @@
     /// Drops calls that are past the horizon. A running one becomes unknown first.
     fn prune(&mut self, now: Millis) {
         for _ in 0..PRUNE_BATCH {
-            let Some((seen, _)) = self.order.front() else {
+            let Some((seen, _)) = self.order.first() else {
                 return;
             };
             if *seen + CLAIM_HORIZON_MILLIS >= now {
                 return;
             }
-            let Some((_, id)) = self.order.pop_front() else {
+            let Some((_, id)) = self.order.pop_first() else {
                 return;
             };
             self.expire(now, id);
@@ -214,7 +215,7 @@
                 entry.phase = Phase::Unknown;
                 entry.at = now;
             }
-            self.order.push_back((at, id));
+            self.order.insert((at, id));
             return;
         }
         self.bytes = self.bytes.saturating_sub(entry.bytes());
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -7,6 +7,7 @@
 mod digest;
 pub mod document;
 mod error;
+mod follower;
 mod register;
 
 pub(crate) use digest::Digester;
@@ -18,6 +19,8 @@
 pub use document::WorkspaceSpec;
 pub use error::ConfigError;
 pub use error::Kind;
+pub use follower::Follower;
+pub use follower::Source;
 pub use register::MAX_DOCUMENTS;
 pub use register::MAX_PAST;
 pub use register::Register;
--- a/crates/core/src/ledger/bills.rs
+++ b/crates/core/src/ledger/bills.rs
@@ -1,6 +1,6 @@
 //! Bills by request: a grow-only set within its horizon.
 
-use std::collections::VecDeque;
+use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,7 +27,8 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub(super) struct Bills {
     entries: Map<RequestId, Entry>,
-    order: VecDeque<(Millis, RequestId)>,
+    /// Requests by the time of their first bill.
+    order: BTreeSet<(Millis, RequestId)>,
 }
 
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -51,7 +52,7 @@
     /// Takes in a bill.
     pub fn insert(&mut self, at: Millis, bill: &Bill) -> Novelty {
         let Some(entry) = self.entries.get_mut(&bill.id) else {
-            self.order.push_back((at, bill.id.clone()));
+            self.order.insert((at, bill.id.clone()));
             let entry = Entry {
                 bill: bill.clone(),
                 merged: Vec::new(),
@@ -70,14 +71,14 @@
     /// Drops entries that are past the horizon.
     pub fn prune(&mut self, now: Millis) {
         for _ in 0..PRUNE_BATCH {
-            let Some((at, _)) = self.order.front() else {
+            let Some((at, _)) = self.order.first() else {
                 return;
             };
             let is_old = *at + BILL_HORIZON_MILLIS < now;
             if !is_old && self.order.len() <= MAX_BILLS {
                 return;
             }
-            if let Some((_, id)) = self.order.pop_front() {
+            if let Some((_, id)) = self.order.pop_first() {
                 self.entries.remove(&id);
             }
         }
--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -143,8 +143,7 @@
 
     /// Takes in a report and answers with the holder's standing.
     pub(crate) fn draw(&mut self, draw: &Draw) -> Reply {
-        let is_open = self.is_open(&draw.holder) || self.fault == Some(Fault::DrawClosed);
-        if !is_open {
+        if !self.is_open(&draw.holder) {
             return Reply::Refused(Refusal::Closed(draw.holder.clone()));
         }
         let mut grants = Vec::with_capacity(draw.rows.len());
--- a/crates/core/src/ledger/policy.rs
+++ b/crates/core/src/ledger/policy.rs
@@ -5,45 +5,63 @@
 use crate::ledger::account::Account;
 use crate::unit::Tokens;
 
-/// Part of the unallotted tokens that the open holders may draw ahead together: one in this many.
-const AHEAD_PART: u64 = 2;
+/// Part of the unspent tokens that open holders may have drawn ahead together: one in this many.
+const AHEAD_PART: u128 = 2;
+
+/// A holder without recent spending counts as one with this part of the mean: one in this many.
+const FLOOR_PART: u128 = 4;
 
 /// Tokens to add to a holder's grant.
 ///
-/// The need is granted whole or not at all; what is asked beyond it, up to the holder's part of
-/// what is unallotted, by its share of the recent spending.
+/// The need is granted whole or not at all; beyond it a holder is filled up to its level.
 pub(super) fn allot(account: &Account, holder: &Holder, granted: Tokens, row: &DrawRow) -> Tokens {
     let need = row.need.saturating_sub(granted);
     if need > account.unallotted {
         return Tokens::ZERO;
     }
-    let ahead = part(account, holder, row);
     let asked = row.want.saturating_sub(granted);
-    asked.min(ahead).max(need).min(account.unallotted)
+    let ahead = asked.min(room(account, holder));
+    ahead.max(need).min(account.unallotted)
 }
 
-fn part(account: &Account, holder: &Holder, row: &DrawRow) -> Tokens {
+/// What a holder lacks to its level; nothing while others can't have what they need.
+fn room(account: &Account, holder: &Holder) -> Tokens {
     if account.unmet(holder) > Tokens::ZERO {
         return Tokens::ZERO;
     }
+    level(account, holder).saturating_sub(rest(account, holder))
+}
+
+/// Unspent tokens that a holder may have: a part of all that is unspent, by its share of the recent
+/// spending. Levels fall as the budget nears its end.
+fn level(account: &Account, holder: &Holder) -> Tokens {
     let open = account.shares.values().filter(|share| !share.closed);
-    let rates = open.fold(0_u64, |sum, share| {
-        sum.saturating_add(share.rate.0).saturating_add(1)
-    });
-    let own = row.rate.0.saturating_add(1);
-    let ahead = u128::from(account.unallotted.0 / AHEAD_PART);
-    let share = ahead * u128::from(own) / u128::from(rates.max(own));
-    Tokens(u64::try_from(share).unwrap_or(u64::MAX))
+    let mut count = 0;
+    let mut rates = 0;
+    let mut unspent = u128::from(account.unallotted.0);
+    for share in open {
+        count += 1;
+        rates += u128::from(share.rate.0);
+        unspent += u128::from(share.rest.0);
+    }
+    let floor = rates / (FLOOR_PART * count.max(1)) + 1;
+    let own = account.shares.get(holder).map_or(0, |share| share.rate.0);
+    let weight = u128::from(own) + floor;
+    let weights = rates + floor * count.max(1);
+    let level = unspent / AHEAD_PART * weight / weights;
+    Tokens(u64::try_from(level).unwrap_or(u64::MAX))
+}
+
+fn rest(account: &Account, holder: &Holder) -> Tokens {
+    let share = account.shares.get(holder);
+    share.map_or(Tokens::ZERO, |share| share.rest)
 }
 
-/// Tokens to ask back from a holder, for others run short.
+/// Tokens to ask back from a holder: what others lack, or what it has far above its level.
 pub(super) fn recall(account: &Account, holder: &Holder) -> Tokens {
-    let rest = account
-        .shares
-        .get(holder)
-        .map_or(Tokens::ZERO, |share| share.rest);
-    account
-        .unmet(holder)
-        .saturating_sub(account.unallotted)
-        .min(rest)
+    let rest = rest(account, holder);
+    let level = level(account, holder);
+    let lacking = account.unmet(holder).saturating_sub(account.unallotted);
+    let surplus = rest.saturating_sub(level + level);
+    lacking.max(surplus).min(rest)
 }
--- a/crates/core/src/ledger/purse.rs
+++ b/crates/core/src/ledger/purse.rs
@@ -14,8 +14,10 @@
 use crate::unit::Millis;
 use crate::unit::Tokens;
 
-/// Tokens set aside for one attempt. Has to be given back by one of the purse's methods.
-#[derive(Debug, Eq, Hash, PartialEq)]
+/// Tokens set aside for one attempt. Has to be given back, once, by one of the purse's methods.
+///
+/// A copy belongs to a copy of the purse, as searches make them.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Reservation {
     budget: Budget,
     amount: Tokens,
@@ -148,7 +150,7 @@
         let mut rows: Vec<DrawRow> = self
             .rows
             .iter_mut()
-            .filter_map(|(budget, row)| row.ask(now, seq, budget))
+            .filter_map(|(budget, row)| row.ask(now, seq, budget, self.fault))
             .collect();
         if rows.is_empty() {
             return None;
--- a/crates/core/src/ledger/row.rs
+++ b/crates/core/src/ledger/row.rs
@@ -151,7 +151,13 @@
     }
 
     /// The report, if one is due.
-    pub fn ask(&mut self, now: Millis, seq: u64, budget: &Budget) -> Option<DrawRow> {
+    pub fn ask(
+        &mut self,
+        now: Millis,
+        seq: u64,
+        budget: &Budget,
+        fault: Option<Fault>,
+    ) -> Option<DrawRow> {
         self.rate.measure(now, self.billed + self.wasted);
         if !self.is_due(now) {
             return None;
@@ -167,7 +173,7 @@
             answered: false,
         });
         let need = self.used() + self.need;
-        Some(DrawRow {
+        let row = DrawRow {
             budget: budget.clone(),
             want: need + self.ahead(now),
             need,
@@ -175,7 +181,11 @@
             wasted: self.wasted,
             exposure,
             rate: self.rate.per_second,
-        })
+        };
+        if fault == Some(Fault::KeepReturned) {
+            self.returned = Tokens::ZERO;
+        }
+        Some(row)
     }
 
     fn is_due(&self, now: Millis) -> bool {
--- a/crates/core/src/machine/fault.rs
+++ b/crates/core/src/machine/fault.rs
@@ -22,8 +22,6 @@
     LateExposure,
     /// A holder counts returned tokens as its own.
     KeepReturned,
-    /// A closed holder may still draw.
-    DrawClosed,
     /// A claim is granted to another try while one runs.
     ClaimRunning,
     /// A resent claim is granted again after its try concluded.
@@ -36,4 +34,8 @@
     AnyBase,
     /// A resent publish or top-up is not recognised.
     ForgetSubmission,
+    /// A follower takes an older configuration.
+    OlderRevision,
+    /// A follower takes its first configuration without a confirmation.
+    UnconfirmedStart,
 }
--- a/crates/core/tests/state/mod.rs
+++ b/crates/core/tests/state/mod.rs
@@ -1,6 +1,9 @@
 //! Short forms of commands for the tests of the replicated state.
 #![allow(dead_code, clippy::panic, clippy::unwrap_used)]
 
+pub mod escrow;
+pub mod search;
+
 use std::sync::Arc;
 
 use chestnutnotch_core::command::Bill;
