Each router keeps its even part of an upstream's slots

Table::pools takes &mut self now and notes the number of routers; a choice lets a router use its even part even if the lagging report says full, so that what the gate lets run is not refused by the choice. Stale after 1.8 s, so that a leave is noticed within 2 s by a router that hears nothing.

--- a/crates/core/src/upstream/choice.rs
+++ b/crates/core/src/upstream/choice.rs
@@ -19,6 +19,8 @@
     pub rules: &'a Rules,
     pub centre: &'a DataCentre,
     pub wanted: &'a Wanted,
+    /// Routers that send work to the same upstreams; zero if not known.
+    pub routers: u32,
     /// Whether an earlier crash marks the request.
     pub marked: bool,
 }
--- a/crates/core/src/upstream/pool.rs
+++ b/crates/core/src/upstream/pool.rs
@@ -6,6 +6,7 @@
 use super::announce::Kind;
 use super::announce::Offer;
 use super::row::Row;
+use super::row::even;
 use super::rules::Rules;
 use super::status::Pool;
 use super::status::Usage;
@@ -53,13 +54,13 @@
 /// How many requests this router may have on an upstream: its even part at least, and half of what
 /// seems free besides, since all routers see the same free slots.
 fn room(row: &Row, now: Millis, rules: &Rules, routers: u32) -> u32 {
-    match row.usage(now, rules) {
+    match row.usage(now, rules, routers) {
         Usage::Leaving | Usage::Silent => return 0,
         Usage::Ejected { .. } => return row.flying,
         Usage::Used | Usage::Full | Usage::Stale => {}
     }
     let slots = row.said.slots;
-    let even = slots.div_ceil(routers.max(1));
+    let even = even(slots, routers);
     let free = slots.saturating_sub(row.taken(rules));
     let claim = row.flying.saturating_add(free.div_ceil(2));
     even.max(claim).min(slots)
--- a/crates/core/src/upstream/row.rs
+++ b/crates/core/src/upstream/row.rs
@@ -152,13 +152,15 @@
         }
     }
 
-    pub fn full(&self, now: Millis, rules: &Rules) -> bool {
-        let limit = self.said.slots;
-        let taken = self.flying.max(self.taken(rules));
-        taken >= limit || self.breaker.paused(now)
+    /// Whether it takes no more. Each of `routers` routers keeps its even part of the slots, so that
+    /// one whose callers come late is not shut out; zero means that none is kept.
+    pub fn full(&self, now: Millis, rules: &Rules, routers: u32) -> bool {
+        let slots = self.said.slots;
+        let taken = self.taken(rules) >= slots && self.flying >= even(slots, routers);
+        taken || self.flying >= slots || self.breaker.paused(now)
     }
 
-    pub fn usage(&self, now: Millis, rules: &Rules) -> Usage {
+    pub fn usage(&self, now: Millis, rules: &Rules, routers: u32) -> Usage {
         if self.said.phase == Phase::Leaving {
             return Usage::Leaving;
         }
@@ -174,7 +176,7 @@
         if self.silent || self.stale(now, rules) {
             return Usage::Stale;
         }
-        match self.full(now, rules) {
+        match self.full(now, rules, routers) {
             true => Usage::Full,
             false => Usage::Used,
         }
@@ -207,3 +209,11 @@
         }
     }
 }
+
+/// Even part of the slots, at least one; zero if the number of routers is not known.
+pub(super) fn even(slots: u32, routers: u32) -> u32 {
+    match routers {
+        0 => 0,
+        _ => slots.div_ceil(routers),
+    }
+}
--- a/crates/core/src/upstream/rules.rs
+++ b/crates/core/src/upstream/rules.rs
@@ -62,7 +62,7 @@
 impl Default for Rules {
     fn default() -> Self {
         Self {
-            stale: Millis(3_000),
+            stale: Millis(1_800),
             forget: Millis(600_000),
             rows: 8_192,
             sample: 2,
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -116,6 +116,7 @@
     last: Attempt,
     quarantine: Quarantine,
     keepers: Keepers,
+    routers: u32,
     change: u64,
 }
 
@@ -153,6 +154,7 @@
             last: 0,
             quarantine: Quarantine::default(),
             keepers: Keepers::default(),
+            routers: 0,
             change: 0,
         }
     }
@@ -219,6 +221,7 @@
             rules: &self.rules,
             centre: &self.centre,
             wanted,
+            routers: self.routers,
             marked,
         };
         let (rows, ask) = usable(&self.rows, &view)?;
@@ -422,7 +425,7 @@
             upstream: row.said.upstream.clone(),
             incarnation: row.said.incarnation,
             centre: row.said.centre.clone(),
-            usage: row.usage(now, &self.rules),
+            usage: row.usage(now, &self.rules, self.routers),
             flying: row.flying,
             load: row.said.load,
             slots: row.said.slots,
@@ -431,8 +434,10 @@
 
     /// How many requests this router may run at once, by the kinds that share upstreams.
     ///
-    /// `routers` is the number of routers that send work to the same upstreams.
-    pub fn pools(&self, now: Millis, routers: u32) -> Vec<Pool> {
+    /// `routers` is the number of routers that send work to the same upstreams; each keeps its even
+    /// part of the slots, in later choices as well.
+    pub fn pools(&mut self, now: Millis, routers: u32) -> Vec<Pool> {
+        self.routers = routers;
         pool::pools(self.rows.values(), now, &self.rules, routers)
     }
 
@@ -491,8 +496,8 @@
         if view.wanted.avoid.contains(&row.said.upstream) {
             return;
         }
-        let full = row.full(view.now, view.rules);
-        match row.usage(view.now, view.rules) {
+        let full = row.full(view.now, view.rules, view.routers);
+        match row.usage(view.now, view.rules, view.routers) {
             Usage::Leaving | Usage::Silent => {}
             Usage::Full => self.full = true,
             _ if full => self.full = true,
--- a/crates/core/tests/upstream_table.rs
+++ b/crates/core/tests/upstream_table.rs
@@ -192,6 +192,16 @@
         assert_eq!(absent(&mut table, 0), Absent::Full);
     }
 
+    each_router_keeps_its_even_part => {
+        let mut table = table(&["w1"]);
+        let load = Load { running: SLOTS, waiting: 9, cache: 0 };
+        table.observe(Millis(0), Announcement { load, ..says("w1", 1, 3) });
+        assert_eq!(table.pools(Millis(0), 2)[0].slots, 2);
+        pick(&mut table, 0);
+        pick(&mut table, 0);
+        assert_eq!(absent(&mut table, 0), Absent::Full);
+    }
+
     own_attempts_in_a_report_do_not_count_twice => {
         let mut table = table(&["w1"]);
         pick(&mut table, 0);
