--- a/crates/cli/tests/fleet/main.rs
+++ b/crates/cli/tests/fleet/main.rs
@@ -1,5 +1,7 @@
 //! Whole fleets of real processes on loopback, and the failures they have to bear.
 
+#![allow(clippy::panic, clippy::unwrap_used)]
+
 #[macro_use]
 mod harness;
 
--- a/crates/cli/tests/operator.rs
+++ b/crates/cli/tests/operator.rs
@@ -1,5 +1,7 @@
 //! The operator's program without a fleet: checks, exit codes, keys, completions.
 
+#![allow(clippy::panic, clippy::unwrap_used)]
+
 use std::process::Command;
 use std::process::Output;
 
--- a/crates/fleet/src/edges/rpc/mod.rs
+++ b/crates/fleet/src/edges/rpc/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod control;
 pub mod peer;
+pub mod router;
 mod views;
 mod watch;
 
@@ -12,6 +13,8 @@
 pub(crate) use client::MESSAGE_BYTES;
 pub use control::ControlServer;
 pub use control::Reports;
+pub use router::RouterClient;
+pub use router::SpreadError;
 
 /// Metadata key under which a replica that does not lead names the one that does.
 pub const LEADER_KEY: &str = "leader";
