--- a/crates/cli/src/cmd/dev.rs
+++ b/crates/cli/src/cmd/dev.rs
@@ -32,15 +32,15 @@
     /// Runs the command.
     pub async fn run(&self) -> Result<(), CliError> {
         let stop = daemon::stopped()?;
-        let mut fleet = Fleet::start(self.port, self.data.clone()).await?;
-        let serving = async {
-            let failed = fleet.failed();
-            tokio::pin!(failed);
-            Err(failed.await)
+        tokio::pin!(stop);
+        let starting = Fleet::start(self.port, self.data.clone());
+        let mut fleet = tokio::select! {
+            () = &mut stop => return Ok(()),
+            fleet = starting => fleet?,
         };
         let ended = tokio::select! {
             () = stop => Ok(()),
-            ended = serving => ended,
+            error = fleet.failed() => Err(error),
         };
         fleet.stop().await;
         ended
--- a/crates/cli/src/cmd/dev/fleet.rs
+++ b/crates/cli/src/cmd/dev/fleet.rs
@@ -66,7 +66,7 @@
     pub async fn start(port: u16, data: Option<PathBuf>) -> Result<Self, CliError> {
         let (folder, data) = folder(data)?;
         let timer = Timer::new();
-        let (address, control) = start_control(data, &timer).await?;
+        let (address, mut control) = start_control(data, &timer).await?;
         let router = Router::start(router_settings(address, port), timer).await?;
         let mut standins = Vec::new();
         let mut heard = Vec::new();
@@ -78,10 +78,14 @@
                 Ok(())
             }));
         }
-        publish(address).await?;
-        let ready = serving(&router, heard);
-        if tokio::time::timeout(READY_TIME, ready).await.is_err() {
-            return Err(CliError::NotReady("the embedded fleet"));
+        let ready = async {
+            publish(address).await?;
+            serving(&router, heard).await;
+            Ok(())
+        };
+        tokio::select! {
+            ready = within(ready) => ready?,
+            error = control.failed() => return Err(error),
         }
         announce(router.http(), address);
         Ok(Self {
@@ -96,10 +100,7 @@
     pub async fn failed(&mut self) -> CliError {
         tokio::select! {
             error = self.router.failed() => error.into(),
-            ended = &mut self.control.task => match ended {
-                Ok(Err(error)) => error,
-                _ => ServeError::Crashed.into(),
-            },
+            error = self.control.failed() => error,
         }
     }
 
@@ -125,6 +126,13 @@
         }
     }
 
+    async fn failed(&mut self) -> CliError {
+        match (&mut self.task).await {
+            Ok(Err(error)) => error,
+            _ => CliError::Ended,
+        }
+    }
+
     async fn stop(mut self) {
         if let Some(stop) = self.stop.take() {
             // A part that has ended needs no word.
@@ -186,6 +194,7 @@
 fn standins_of(router: SocketAddr) -> [StandinSettings; 2] {
     let base = StandinSettings {
         routers: vec![router],
+        linger: 0,
         ..StandinSettings::new("engine-1", loopback(0), CENTRE)
     };
     let engine = StandinSettings {
@@ -218,6 +227,11 @@
     }
 }
 
+async fn within(ready: impl Future<Output = Result<(), CliError>>) -> Result<(), CliError> {
+    let ready = tokio::time::timeout(READY_TIME, ready).await;
+    ready.unwrap_or(Err(CliError::NotReady))
+}
+
 async fn serving(router: &Router, heard: Vec<watch::Receiver<bool>>) {
     router.ready().await;
     for mut one in heard {
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -73,9 +73,12 @@
     /// A value can't be shown.
     #[error("can't show the answer: {0}")]
     Show(#[from] serde_json::Error),
-    /// A part of the embedded fleet did not become ready.
-    #[error("{0} did not become ready in time")]
-    NotReady(&'static str),
+    /// The embedded fleet did not become ready.
+    #[error("the embedded fleet did not become ready in time")]
+    NotReady,
+    /// A part of the embedded fleet ended by itself.
+    #[error("a part of the embedded fleet has ended")]
+    Ended,
     /// A stand-in could not start.
     #[error(transparent)]
     Standin(#[from] StandinError),
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -97,14 +97,22 @@
         settings.host.name,
         own.listen
     );
+    // The replica stops first: that ends the streams of those who follow the configuration, which
+    // the server would otherwise wait for.
+    let ended = async {
+        tokio::select! {
+            () = stop => {}
+            () = handle.stopped() => log::error!("the replica has stopped by itself"),
+        }
+        handle.stop().await;
+    };
     Server::builder()
         .tcp_nodelay(true)
         .add_service(control)
         .add_service(peers.into_server())
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), stop)
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), ended)
         .await?;
     spool.stop(None);
-    handle.stop().await;
     log::info!("control process {} has stopped", settings.host.name);
     Ok(())
 }
