--- a/crates/standin/tests/standin.rs
+++ b/crates/standin/tests/standin.rs
@@ -1,4 +1,5 @@
 //! The stand-ins do what tests of the fleet rely on.
+
 #![allow(clippy::panic, clippy::unwrap_used)]
 
 use std::net::SocketAddr;
