Read on before a body that is too large is refused

The caller of a 5 MB body saw a reset connection in place of the 413: the connection was closed while it was still sending.

--- a/crates/cli/tests/fleet/harness/fleet.rs
+++ b/crates/cli/tests/fleet/harness/fleet.rs
@@ -150,6 +150,7 @@
         let copy = self.folder.path().join("services");
         std::fs::create_dir(&copy).unwrap();
         let mut files = vec![PathBuf::from(example("services"))];
+        let mut count = 0;
         while let Some(path) = files.pop() {
             if path.is_dir() {
                 let entries = std::fs::read_dir(&path).unwrap();
@@ -158,10 +159,8 @@
             }
             let text = std::fs::read_to_string(&path).unwrap();
             let text = text.replace("prepaid = 40000000", &format!("prepaid = {prepaid}"));
-            let name = format!(
-                "{}.toml",
-                files.len() + std::fs::read_dir(&copy).unwrap().count()
-            );
+            let name = format!("{count}.toml");
+            count += 1;
             std::fs::write(copy.join(name), text).unwrap();
         }
         copy.display().to_string()
--- a/crates/cli/tests/fleet/operators.rs
+++ b/crates/cli/tests/fleet/operators.rs
@@ -61,7 +61,7 @@
     until("the last revision to be in force", || async {
         let status = fleet.cli("reader", &["status"]).await;
         let hosts = status["hosts"].as_array().cloned().unwrap_or_default();
-        hosts.iter().all(|host| host["in_force"] == expected)
+        hosts.len() == 2 && hosts.iter().all(|host| host["in_force"] == expected)
     })
     .await;
 }
--- a/crates/fleet/src/edges/http/read.rs
+++ b/crates/fleet/src/edges/http/read.rs
@@ -9,6 +9,9 @@
 use hyper::body::Incoming;
 use thiserror::Error;
 
+/// Most bytes of a body that is too large that are read before it is refused.
+const DISCARD_BYTES: usize = 16 << 20;
+
 /// Why a body was not read.
 #[derive(Debug, Error)]
 pub enum ReadError {
@@ -33,14 +36,31 @@
     most: usize,
     within: Duration,
 ) -> Result<Bytes, ReadError> {
-    if body.size_hint().lower() > most as u64 {
-        return Err(ReadError::TooLarge(most));
-    }
-    tokio::time::timeout(within, collect(body, most))
+    let read = async {
+        if body.size_hint().lower() > most as u64 {
+            discard(body).await;
+            return Err(ReadError::TooLarge(most));
+        }
+        collect(body, most).await
+    };
+    tokio::time::timeout(within, read)
         .await
         .unwrap_or(Err(ReadError::Slow(within)))
 }
 
+/// Reads on without keeping anything: a connection that is closed while the other side sends is
+/// reset, and the answer is lost with it.
+async fn discard(mut body: Incoming) {
+    let mut left = DISCARD_BYTES;
+    while let Some(Ok(frame)) = body.frame().await {
+        let size = frame.data_ref().map_or(0, Bytes::len);
+        if size > left {
+            return;
+        }
+        left -= size;
+    }
+}
+
 async fn collect(mut body: Incoming, most: usize) -> Result<Bytes, ReadError> {
     let mut all = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -48,6 +68,8 @@
             continue;
         };
         if all.len() + data.len() > most {
+            drop(all);
+            discard(body).await;
             return Err(ReadError::TooLarge(most));
         }
         if all.is_empty() && body.is_end_stream() {
