--- a/crates/cli/tests/operator.rs
+++ b/crates/cli/tests/operator.rs
@@ -1,4 +1,5 @@
 //! The operator's program without a fleet: checks, exit codes, keys, completions.
+#![allow(clippy::panic, clippy::unwrap_used)]
 
 #![allow(clippy::panic, clippy::unwrap_used)]
 
