--- /dev/null
+++ b/crates/cli/tests/fleet/main.rs
@@ -0,0 +1,12 @@
+//! Whole fleets of real processes on loopback, and the failures they have to bear.
+#![allow(clippy::panic, clippy::unwrap_used)]
+
+#[macro_use]
+mod harness;
+
+mod budgets;
+mod control;
+mod operators;
+mod routers;
+mod serve;
+mod upstreams;
