Failure tests of the group and the data folder; status shows committed members

Status used to show members before they were committed, so that a repair looked done one entry too early.

--- a/crates/fleet/src/controllers/replica/actor.rs
+++ b/crates/fleet/src/controllers/replica/actor.rs
@@ -291,14 +291,15 @@
 
     fn status(&self) -> ReplicaStatus {
         let node = self.replica.node();
+        let members = node.log().members_at(node.committed());
         ReplicaStatus {
             id: node.id(),
             term: node.term(),
             leads: node.leads(),
             leader: self.leader(),
             applied: self.applied.index,
-            voters: node.members().voters().collect(),
-            learners: node.members().learners().collect(),
+            voters: members.voters().collect(),
+            learners: members.learners().collect(),
         }
     }
 
--- a/crates/fleet/src/controllers/replica/handle.rs
+++ b/crates/fleet/src/controllers/replica/handle.rs
@@ -35,9 +35,9 @@
     pub leader: Option<SocketAddr>,
     /// Highest entry applied.
     pub applied: Index,
-    /// Voting members.
+    /// Voting members, as committed.
     pub voters: Vec<ReplicaId>,
-    /// Members that only follow.
+    /// Members that only follow, as committed.
     pub learners: Vec<ReplicaId>,
 }
 
--- a/crates/fleet/src/edges/disk/folder.rs
+++ b/crates/fleet/src/edges/disk/folder.rs
@@ -10,7 +10,6 @@
 
 use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::replica::Durable;
-use chestnutnotch_core::replica::Entry;
 use chestnutnotch_core::replica::Save;
 use chestnutnotch_core::replica::Snapshot;
 use chestnutnotch_core::unit::Index;
@@ -18,6 +17,8 @@
 
 use super::error::DiskError;
 use super::file;
+use super::history::History;
+use super::history::last_index;
 use super::identity;
 use super::segment;
 use super::segment::Record;
@@ -130,6 +131,7 @@
             replica: self.id,
             number: self.current.number + 1,
             reset,
+            snapshot: Some(snapshot.at.index),
             term: self.term,
             vote: self.vote,
         };
@@ -162,6 +164,7 @@
             replica: id,
             number: 1,
             reset: true,
+            snapshot: None,
             term: Term::ZERO,
             vote: None,
         };
@@ -217,12 +220,7 @@
                 path: path.join(segment::name(1)),
             });
         };
-        let first = history.entries.first().map(|entry| entry.at.index);
-        if first.is_some_and(|first| first > snapshot.at.index.next()) {
-            return Err(DiskError::Gap {
-                path: path.to_path_buf(),
-            });
-        }
+        history.check(path, snapshot.as_ref())?;
         let folder = Self {
             path: path.to_path_buf(),
             id,
@@ -235,7 +233,7 @@
         let durable = Durable {
             term: history.term,
             vote: history.vote,
-            snapshot: Arc::new(snapshot),
+            snapshot: Arc::new(snapshot.unwrap_or_default()),
             entries: history.entries,
         };
         Ok((folder, durable))
@@ -276,57 +274,6 @@
     }
 }
 
-/// What the records read so far amount to.
-#[derive(Default)]
-struct History {
-    term: Term,
-    vote: Option<ReplicaId>,
-    entries: Vec<Entry>,
-}
-
-impl History {
-    /// Takes in a segment and returns the highest index in it.
-    fn replay(&mut self, path: &Path, segment: Segment) -> Result<Index, DiskError> {
-        let mut highest = Index::ZERO;
-        if let Some(start) = segment.start {
-            self.term = start.term;
-            self.vote = start.vote;
-            if start.reset {
-                self.entries.clear();
-            }
-        }
-        for record in segment.records {
-            highest = highest.max(last_index(&record).unwrap_or_default());
-            match record {
-                Record::Vote { term, vote } => {
-                    self.term = term;
-                    self.vote = vote;
-                }
-                Record::Entries(entries) => self.extend(path, entries)?,
-                Record::Start(_) => return Err(file::corrupt(path, 0)),
-            }
-        }
-        Ok(highest)
-    }
-
-    fn extend(&mut self, path: &Path, entries: Vec<Entry>) -> Result<(), DiskError> {
-        let Some(first) = entries.first().map(|entry| entry.at.index) else {
-            return Ok(());
-        };
-        let keep = self.entries.partition_point(|entry| entry.at.index < first);
-        self.entries.truncate(keep);
-        let follows = self
-            .entries
-            .last()
-            .is_none_or(|last| last.at.index.next() == first);
-        if !follows {
-            return Err(file::corrupt(path, 0));
-        }
-        self.entries.extend(entries);
-        Ok(())
-    }
-}
-
 fn lock(folder: &Path) -> Result<File, DiskError> {
     let path = folder.join(LOCK);
     let file = OpenOptions::new()
@@ -387,12 +334,13 @@
     Ok(())
 }
 
-fn load_snapshot(folder: &Path) -> Result<Snapshot, DiskError> {
+fn load_snapshot(folder: &Path) -> Result<Option<Snapshot>, DiskError> {
     let path = folder.join(snapshot::NAME);
-    match file::read(&path)? {
-        Some(bytes) => snapshot::decode(&bytes).map_err(|e| file::at_path(&path, e)),
-        None => Ok(Snapshot::default()),
-    }
+    let Some(bytes) = file::read(&path)? else {
+        return Ok(None);
+    };
+    let snapshot = snapshot::decode(&bytes).map_err(|e| file::at_path(&path, e))?;
+    Ok(Some(snapshot))
 }
 
 fn load_segment(path: &Path) -> Result<Segment, DiskError> {
@@ -419,13 +367,6 @@
     }
 }
 
-fn last_index(record: &Record) -> Option<Index> {
-    match record {
-        Record::Entries(entries) => entries.last().map(|entry| entry.at.index),
-        Record::Start(_) | Record::Vote { .. } => None,
-    }
-}
-
 fn encode(path: &Path, value: &(impl serde::Serialize + ?Sized)) -> Result<Vec<u8>, DiskError> {
     postcard::to_stdvec(value).map_err(|_| DiskError::Oversized {
         path: path.to_path_buf(),
--- a/crates/fleet/src/edges/disk/mod.rs
+++ b/crates/fleet/src/edges/disk/mod.rs
@@ -15,6 +15,7 @@
 mod file;
 mod folder;
 pub mod frame;
+mod history;
 pub mod identity;
 pub mod segment;
 pub mod snapshot;
--- a/crates/fleet/src/edges/disk/segment.rs
+++ b/crates/fleet/src/edges/disk/segment.rs
@@ -35,6 +35,8 @@
     pub number: u64,
     /// Whether entries of earlier segments are void.
     pub reset: bool,
+    /// Last entry in the snapshot that was written before the segment; none in the first segment.
+    pub snapshot: Option<Index>,
     /// Term when the segment began.
     pub term: Term,
     /// Vote in that term.
--- a/crates/fleet/tests/replica_support/mod.rs
+++ b/crates/fleet/tests/replica_support/mod.rs
@@ -21,6 +21,7 @@
 use chestnutnotch_core::unit::Revision;
 use tempfile::TempDir;
 use tokio::net::TcpListener;
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
@@ -32,6 +33,7 @@
 pub struct Running {
     pub handle: ReplicaHandle,
     server: JoinHandle<()>,
+    close: oneshot::Sender<()>,
 }
 
 /// A group of replicas.
@@ -84,18 +86,28 @@
         let (handle, service) = started.unwrap();
         let server = Server::builder().add_service(service.into_server());
         let incoming = TcpListenerStream::new(listener);
+        let (close, closed) = oneshot::channel();
         let server = tokio::spawn(async move {
-            server.serve_with_incoming(incoming).await.unwrap();
+            let closed = async {
+                let _ = closed.await;
+            };
+            let served = server.serve_with_incoming_shutdown(incoming, closed).await;
+            served.unwrap();
         });
-        Running { handle, server }
+        Running {
+            handle,
+            server,
+            close,
+        }
     }
 
     /// Stops a replica and its server; its connections break.
     pub async fn stop(&mut self, at: usize) {
         let running = self.replicas[at].take().unwrap();
-        running.server.abort();
-        let _ = running.server.await;
         running.handle.stop().await;
+        // Connections outlive an aborted server; a planned end closes them.
+        running.close.send(()).unwrap();
+        running.server.await.unwrap();
     }
 
     /// Starts a stopped replica again.
