Refuse bills of sealed holders; random schedules

Found while writing the random schedules: a retired router that goes on could bill an attempt by the quorum after its rest had been freed, settle, and start the next, attempt by attempt beyond its exposure. A bill is now either in before the seals or refused (Billed::Closed), and its reservation stays.

A merged bill settles as billed in the router: the ledger has counted its tokens, and reporting them as wasted again charged them twice.

--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -294,8 +294,12 @@
 pub enum Billed {
     /// The request's first bill.
     Recorded,
-    /// The request had a bill already; the tokens of this one count as wasted.
+    /// The request had a bill already. Tokens of another attempt count as wasted; the holder settles
+    /// its reservation as billed all the same, for the ledger has counted them.
     Merged,
+    /// The holder is closed and sealed: nothing was recorded, the bill is not safe, and its
+    /// reservation stays.
+    Closed,
 }
 
 /// Outcome of a claim.
--- a/crates/core/src/ledger/bills.rs
+++ b/crates/core/src/ledger/bills.rs
@@ -63,6 +63,12 @@
         entry.merge(bill)
     }
 
+    /// Whether this very bill was taken before.
+    pub fn knows(&self, bill: &Bill) -> bool {
+        let entry = self.entries.get(&bill.id);
+        entry.is_some_and(|entry| entry.contains(bill))
+    }
+
     /// The bill of a request.
     pub fn get(&self, id: &RequestId) -> Option<&Bill> {
         self.entries.get(id).map(|entry| &entry.bill)
@@ -86,14 +92,19 @@
 }
 
 impl Entry {
-    fn merge(&mut self, bill: &Bill) -> Novelty {
+    fn contains(&self, bill: &Bill) -> bool {
         let is_first = self.bill.holder == bill.holder && self.bill.attempt == bill.attempt;
-        let attempt = (bill.holder.clone(), bill.attempt);
-        if is_first || self.merged.contains(&attempt) {
+        let mut merged = self.merged.iter();
+        is_first
+            || merged.any(|(holder, attempt)| *holder == bill.holder && *attempt == bill.attempt)
+    }
+
+    fn merge(&mut self, bill: &Bill) -> Novelty {
+        if self.contains(bill) {
             return Novelty::Known;
         }
         if self.merged.len() < MAX_MERGED {
-            self.merged.push(attempt);
+            self.merged.push((bill.holder.clone(), bill.attempt));
         }
         Novelty::Other
     }
--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -325,13 +325,17 @@
         Ok(())
     }
 
-    /// Takes in bills. They may come from closed holders.
+    /// Takes in bills. They may come from closed holders until these are sealed; a later bill is
+    /// refused, else a holder that goes on could settle and spend what was freed.
     pub(crate) fn bill(&mut self, at: Millis, bills: &[Bill]) -> Reply {
         self.bills.prune(at);
         Reply::Billed(bills.iter().map(|bill| self.take(at, bill)).collect())
     }
 
     fn take(&mut self, at: Millis, bill: &Bill) -> Billed {
+        if self.is_sealed(&bill.holder) && !self.bills.knows(bill) {
+            return Billed::Closed;
+        }
         let novelty = match self.bills.insert(at, bill) {
             Novelty::Other if self.fault == Some(Fault::BillTwice) => Novelty::First,
             novelty => novelty,
@@ -356,6 +360,17 @@
         billed
     }
 
+    /// Whether no bill of a holder is taken any more.
+    fn is_sealed(&self, holder: &Holder) -> bool {
+        if self.fault == Some(Fault::BillSealed) {
+            return false;
+        }
+        let Some(standing) = self.holders.get(holder) else {
+            return matches!(holder, Holder::Router(_));
+        };
+        standing.closed.as_ref().is_some_and(|closed| closed.whole)
+    }
+
     /// The bill of a request, within the horizon.
     pub fn find(&self, id: &RequestId) -> Option<&Bill> {
         self.bills.get(id)
--- a/crates/core/src/ledger/row.rs
+++ b/crates/core/src/ledger/row.rs
@@ -133,6 +133,9 @@
             return Err(Short::Spent);
         }
         self.need = self.need.max(worst);
+        if free >= worst {
+            self.peak += worst;
+        }
         Err(Short::Allotment(worst.saturating_sub(free)))
     }
 
--- a/crates/core/src/machine/fault.rs
+++ b/crates/core/src/machine/fault.rs
@@ -18,6 +18,8 @@
     FreeUnsealed,
     /// A closed holder's exposure is free as soon as the replicas sealed.
     FreeExposure,
+    /// Bills of a sealed holder are taken.
+    BillSealed,
     /// A late standing raises the exposure that a holder obeys.
     LateExposure,
     /// A holder counts returned tokens as its own.
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -5,12 +5,14 @@
 
 use chestnutnotch_core::command::Billed;
 use chestnutnotch_core::command::Command;
+use chestnutnotch_core::command::Grant;
 use chestnutnotch_core::command::Refusal;
 use chestnutnotch_core::command::Reply;
 use chestnutnotch_core::command::Resolve;
 use chestnutnotch_core::id::Holder;
 use chestnutnotch_core::ledger::Purse;
 use chestnutnotch_core::ledger::Short;
+use chestnutnotch_core::machine::Fault;
 use chestnutnotch_core::machine::Machine;
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::unit::Tokens;
@@ -192,6 +194,52 @@
     assert!(purse.reserve(later, &budget(), Tokens(2_000)).is_ok());
 }
 
+/// Attempts that run at once after a late standing, with an exposure granted for two.
+fn run_at_once(mut purse: Purse) -> usize {
+    let now = Millis(0);
+    assert!(purse.reserve(now, &budget(), Tokens(4_000)).is_err());
+    let asked = purse.draw(now).unwrap();
+    let standing = |seq, exposure| Grant {
+        budget: budget(),
+        seq,
+        granted: Tokens(100_000),
+        exposure,
+        recall: Tokens(0),
+        unallotted: Tokens(0),
+        spread: Tokens(100_000),
+    };
+    purse.grant(now, [standing(asked.seq, asked.rows[0].exposure)]);
+    purse.grant(now, [standing(asked.seq - 1, Tokens(48_000))]);
+    let held = std::iter::from_fn(|| purse.reserve(now, &budget(), Tokens(4_000)).ok());
+    held.count()
+}
+
+fn late_standing_raises_nothing() {
+    let holder = Holder::Router(router("desk-1", 1));
+    assert_eq!(run_at_once(Purse::new(holder.clone())), 2);
+    assert_eq!(
+        run_at_once(Purse::with_fault(holder, Fault::LateExposure)),
+        12
+    );
+}
+
+fn refuses_bills_of_sealed() {
+    let (mut machine, purse) = drawn(PREPAID);
+    let holder = purse.holder().clone();
+    let early = Command::Bill(vec![bill(&holder, "a", 1, 10)]);
+    apply(&mut machine, early.clone());
+    apply(&mut machine, retire("desk-1"));
+    for replica in REPLICAS {
+        apply(&mut machine, seal(replica, &holder));
+    }
+    let late = Command::Bill(vec![bill(&holder, "b", 2, 10)]);
+    let reply = apply(&mut machine, late);
+    assert_eq!(reply, Reply::Billed(vec![Billed::Closed]));
+    let reply = apply(&mut machine, early);
+    assert_eq!(reply, Reply::Billed(vec![Billed::Merged]));
+    assert_eq!(balance(&machine).billed, Tokens(10));
+}
+
 fn region_holds_allotments() {
     let mut machine = machine(PREPAID);
     let mut purse = Purse::new(Holder::Region("marmara".into()));
@@ -212,5 +260,7 @@
     a_late_bill_is_taken: late_bill_of_closed_holder();
     idle_tokens_are_recalled: recall_serves_another();
     spent_follows_the_ledger: spent_is_said_when_true();
+    a_late_standing_raises_no_exposure: late_standing_raises_nothing();
+    a_bill_of_a_sealed_holder_is_refused: refuses_bills_of_sealed();
     a_region_is_a_holder: region_holds_allotments();
 }
--- a/crates/core/tests/ledger_model.rs
+++ b/crates/core/tests/ledger_model.rs
@@ -57,6 +57,16 @@
     ..ENDS
 };
 
+/// A retired router goes on: it runs attempts one after the other and bills each.
+const ZOMBIE: Bounds = Bounds {
+    sizes: &[8_000, 12_000],
+    ends: &[End::Retire],
+    fates: &[Fate::Billed, Fate::Spooled],
+    primed: true,
+    probe: true,
+    ..ENDS
+};
+
 /// Returns, with answers lost and late.
 const RETURNS: Bounds = Bounds {
     sizes: &[8_000, 12_000],
@@ -99,6 +109,8 @@
     two_runs_of_one_request_keep_the_budget: holds(TWICE);
     a_raised_exposure_keeps_the_budget: holds(RAISED);
     returns_keep_the_budget: holds(RETURNS);
+    a_retired_router_keeps_the_budget: holds(ZOMBIE);
+    billing_after_the_seals_is_found: breaks(ZOMBIE, Fault::BillSealed);
     freeing_before_the_seals_is_found: breaks(ENDS, Fault::FreeUnsealed);
     freeing_the_exposure_is_found: breaks(ENDS, Fault::FreeExposure);
     a_doubled_top_up_is_found: breaks(DOUBLED, Fault::TopUpTwice);
--- a/crates/fleet/src/controllers/bills.rs
+++ b/crates/fleet/src/controllers/bills.rs
@@ -188,7 +188,7 @@
     }
 
     /// One try at the quorum and then at any replica's disk. An empty result is a refusal.
-    async fn attempt(&self, bills: &[Bill]) -> Option<Vec<Saved>> {
+    async fn attempt(&self, bills: &[Bill]) -> Option<Vec<Option<Saved>>> {
         let degraded = self.degraded.load(Ordering::Relaxed);
         let within = if degraded {
             PROBE_WITHIN
@@ -208,14 +208,16 @@
             Err(_) => self.degraded.store(true, Ordering::Relaxed),
         }
         let spooled = self.control.spool(bills.to_vec(), SPOOL_WITHIN).await;
-        spooled.ok().map(|()| vec![Saved::Spooled; bills.len()])
+        spooled
+            .ok()
+            .map(|()| vec![Some(Saved::Spooled); bills.len()])
     }
 
-    fn finish(&self, batch: Vec<Entry>, results: &[Saved]) {
+    fn finish(&self, batch: Vec<Entry>, results: &[Option<Saved>]) {
         let mut results = results.iter().copied();
         for entry in batch {
             self.pending.send_modify(|count| *count -= 1);
-            let Some(saved) = results.next() else {
+            let Some(saved) = results.next().flatten() else {
                 // A refused bill keeps its reservation: the tokens were produced.
                 self.metrics.bills.add("refused");
                 continue;
@@ -239,15 +241,16 @@
             }
             Saved::Merged => {
                 self.metrics.bills.add("merged");
-                self.allotment.settle(due.held, Tokens::ZERO, produced);
+                self.allotment.settle(due.held, produced, Tokens::ZERO);
             }
         }
     }
 }
 
-fn saved(billed: &Billed) -> Saved {
+fn saved(billed: &Billed) -> Option<Saved> {
     match billed {
-        Billed::Recorded => Saved::Recorded,
-        Billed::Merged => Saved::Merged,
+        Billed::Recorded => Some(Saved::Recorded),
+        Billed::Merged => Some(Saved::Merged),
+        Billed::Closed => None,
     }
 }
--- a/crates/wire/src/convert/reply.rs
+++ b/crates/wire/src/convert/reply.rs
@@ -29,6 +29,7 @@
             Reply::Done => Kind::Done(proto::Done {}),
             Reply::Billed(billed) => Kind::Billed(proto::BilledBatch {
                 merged: billed.iter().map(|one| *one == Billed::Merged).collect(),
+                closed: billed.iter().map(|one| *one == Billed::Closed).collect(),
             }),
             Reply::Claim(claim) => Kind::Claim(claim.into()),
             Reply::Concluded => Kind::Concluded(proto::Concluded {}),
@@ -56,7 +57,7 @@
             Kind::Joined(incarnation) => Self::Joined(Incarnation(incarnation)),
             Kind::Grants(grants) => Self::Grants(all(grants.grants)?),
             Kind::Done(_) => Self::Done,
-            Kind::Billed(batch) => Self::Billed(batch.merged.into_iter().map(billed).collect()),
+            Kind::Billed(batch) => Self::Billed(billed(&batch)),
             Kind::Claim(claim) => Self::Claim(claim.try_into()?),
             Kind::Concluded(_) => Self::Concluded,
             Kind::Accepted(revision) => Self::Accepted(Revision(revision)),
@@ -68,12 +69,15 @@
     }
 }
 
-fn billed(merged: bool) -> Billed {
-    if merged {
-        Billed::Merged
-    } else {
-        Billed::Recorded
-    }
+fn billed(batch: &proto::BilledBatch) -> Vec<Billed> {
+    let closed = batch.closed.iter().copied().chain(std::iter::repeat(false));
+    let each = batch.merged.iter().zip(closed);
+    each.map(|(merged, closed)| match (merged, closed) {
+        (_, true) => Billed::Closed,
+        (true, false) => Billed::Merged,
+        (false, false) => Billed::Recorded,
+    })
+    .collect()
 }
 
 impl From<command::Grant> for proto::Grant {
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -516,11 +516,13 @@
     #[prost(uint64, tag = "7")]
     pub seq: u64,
 }
-/// Whether each bill was merged into an earlier one.
+/// Whether each bill was merged into an earlier one, and whether it was refused.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BilledBatch {
     #[prost(bool, repeated, tag = "1")]
     pub merged: ::prost::alloc::vec::Vec<bool>,
+    #[prost(bool, repeated, tag = "2")]
+    pub closed: ::prost::alloc::vec::Vec<bool>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ClaimReply {
