Ask an upstream at once when an attempt breaks off; evidence spreads with the answer

Until now the question waited for the next period and the evidence for the one after, and in that time another router could run the request a third time.

--- a/crates/fleet/src/controllers/spread.rs
+++ b/crates/fleet/src/controllers/spread.rs
@@ -63,6 +63,7 @@
         let (actor, _) = Actor::spawn(None, SpreadActor, state).await?;
         ticks::forward(timer, PERIOD, actor.clone(), || Message::Tick);
         ticks::forward(timer, PROBE_PERIOD, actor.clone(), || Message::Probe);
+        tokio::spawn(probe_broken(upstreams.clone(), actor.clone()));
         Ok(Self { actor, upstreams })
     }
 
@@ -89,6 +90,7 @@
     /// Takes in crash evidence that another router sent.
     pub fn crash(&self, crash: Crash) {
         if self.upstreams.crash(&crash) {
+            self.upstreams.metrics().crashes.add("heard");
             // Without the actor the process is ending.
             let _ = self.actor.cast(Message::Crashed(crash));
         }
@@ -110,11 +112,22 @@
     }
 }
 
+/// Has an upstream asked at once when an attempt at it broke off: it may have crashed.
+async fn probe_broken(upstreams: Upstreams, actor: ActorRef<Message>) {
+    loop {
+        upstreams.broken().await;
+        if actor.cast(Message::Probe).is_err() {
+            return;
+        }
+    }
+}
+
 enum Message {
     Heard { upstream: Upstream, urgent: bool },
     Crashed(Crash),
     Tick,
     Probe,
+    Collect,
     Sent { peer: usize, failed: Option<Outbox> },
 }
 
@@ -183,6 +196,7 @@
             }
             Message::Tick => state.tick(&myself),
             Message::Probe => state.probe(&myself),
+            Message::Collect => state.collect(&myself),
             Message::Sent { peer, failed } => state.sent(peer, failed),
         }
         Ok(())
@@ -207,11 +221,20 @@
     fn probe(&mut self, myself: &ActorRef<Message>) {
         for probe in self.upstreams.tick() {
             let upstreams = self.upstreams.clone();
+            let actor = myself.clone();
             tokio::spawn(async move {
                 upstreams.ask(&probe).await;
+                // Without the actor the process is ending.
+                let _ = actor.cast(Message::Collect);
             });
         }
+        self.collect(myself);
+    }
+
+    /// Spreads the crash evidence that the answers of upstreams, or their silence, gave.
+    fn collect(&mut self, myself: &ActorRef<Message>) {
         let found = self.upstreams.crashes();
+        self.metrics.crashes.add_many("found", found.len() as u64);
         for crash in &found {
             self.crashed(crash);
         }
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -28,6 +28,7 @@
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
+use tokio::sync::Notify;
 
 use crate::edges::http::HttpClient;
 use crate::edges::http::client::Call;
@@ -57,6 +58,7 @@
     table: Arc<Mutex<Table>>,
     client: HttpClient,
     routers: u32,
+    broken: Arc<Notify>,
     timer: Timer,
     metrics: Arc<Metrics>,
 }
@@ -75,6 +77,7 @@
             table: Arc::new(Mutex::new(table)),
             client,
             routers,
+            broken: Arc::new(Notify::new()),
             timer,
             metrics,
         }
@@ -119,6 +122,19 @@
             Ended::Neutral => "neutral",
         });
         self.table().end(self.timer.now(), attempt, ended);
+        if ended == Ended::Broken {
+            self.broken.notify_one();
+        }
+    }
+
+    /// Waits until an attempt has broken off since the last call.
+    pub async fn broken(&self) {
+        self.broken.notified().await;
+    }
+
+    /// The counters.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
     }
 
     /// Asks an upstream for its state directly. Whether it takes work as the start that is known.
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -59,6 +59,8 @@
     pub known: Results,
     /// Announcements heard.
     pub announcements: Results,
+    /// Crash evidence: found by this router, or heard of.
+    pub crashes: Results,
     /// Messages between routers.
     pub spreads: Results,
     /// Requests in flight.
@@ -87,6 +89,7 @@
             claims: Results::default(),
             known: Results::default(),
             announcements: Results::default(),
+            crashes: Results::default(),
             spreads: Results::default(),
             flying: Gauge::default(),
             unknown: Gauge::default(),
@@ -111,6 +114,7 @@
             ("claims", "Claims of non-idempotent calls", &self.claims),
             ("known", "Requests with a known key", &self.known),
             ("announcements", "Announcements", &self.announcements),
+            ("crashes", "Crash evidence", &self.crashes),
             ("spreads", "Messages between routers", &self.spreads),
         ];
         for (name, help, results) in counters {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -105,9 +105,25 @@
     /// A serving router and its control; no upstreams yet.
     pub async fn new(prepaid: u64) -> Self {
         let control = Control::start(prepaid).await;
-        let router = Router::start(settings(control.address), Timer::new())
-            .await
-            .unwrap();
+        let settings = settings("entry-1", control.address, "127.0.0.1:0", &[]);
+        Self::start(control, settings).await
+    }
+
+    /// Two routers that are peers, with a control each; no upstreams yet.
+    pub async fn pair(prepaid: u64) -> (Self, Self) {
+        let rpc = [free_address().await, free_address().await];
+        let mut pair = Vec::new();
+        for (name, own) in ["entry-1", "entry-2"].iter().zip(&rpc) {
+            let control = Control::start(prepaid).await;
+            let settings = settings(name, control.address, own, &rpc);
+            pair.push(Self::start(control, settings).await);
+        }
+        let second = pair.pop().unwrap();
+        (pair.pop().unwrap(), second)
+    }
+
+    async fn start(control: Control, settings: Settings) -> Self {
+        let router = Router::start(settings, Timer::new()).await.unwrap();
         let http = router.http();
         tokio::time::timeout(PATIENCE, router.ready())
             .await
@@ -299,13 +315,14 @@
         .concat()
 }
 
-fn settings(control: SocketAddr) -> Settings {
+fn settings(name: &str, control: SocketAddr, rpc: &str, peers: &[String]) -> Settings {
     serde_json::from_value(json!({
-        "host": {"name": "entry-1", "centre": "north"},
+        "host": {"name": name, "centre": "north"},
         "control": [control],
         "router": {
             "listen": "127.0.0.1:0",
-            "rpc": "127.0.0.1:0",
+            "rpc": rpc,
+            "peers": peers,
             "body": 65_536,
             "draw": 50,
             "drain": 8_000,
@@ -313,3 +330,9 @@
     }))
     .unwrap()
 }
+
+/// A loopback address that nobody listened on a moment ago.
+async fn free_address() -> String {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap().to_string()
+}
