--- a/crates/fleet/src/filters/refusal.rs
+++ b/crates/fleet/src/filters/refusal.rs
@@ -207,7 +207,7 @@
         match self {
             Self::Failed(ran) | Self::Deadline(ran) | Self::Quarantined { ran, .. } => *ran,
             Self::BillUnsafe => Ran::Ran,
-            Self::OutcomeUnknown | Self::CallRunning | Self::KeyReused => Ran::Unknown,
+            Self::OutcomeUnknown | Self::CallRunning => Ran::Unknown,
             _ => Ran::NotRun,
         }
     }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -104,9 +104,7 @@
 impl Bench {
     /// A serving router and its control; no upstreams yet.
     pub async fn new(prepaid: u64) -> Self {
-        let control = Control::start(prepaid).await;
-        let settings = settings("entry-1", control.address, "127.0.0.1:0", &[]);
-        Self::start(control, settings).await
+        Self::with(Control::start(prepaid).await).await
     }
 
     /// Two routers that are peers, with a control each; no upstreams yet.
@@ -137,32 +135,19 @@
         }
     }
 
-    /// Adds an upstream and waits until the router uses it.
+    /// A router with this control, whose address for other routers nobody knows.
+    pub async fn with(control: Control) -> Self {
+        let settings = settings("entry-1", control.address, "127.0.0.1:0", &[]);
+        Self::start(control, settings).await
+    }
+
+    /// Adds an upstream and waits until the router knows it.
     pub async fn add(&mut self, kind: Value, faults: Faults) -> SocketAddr {
         let name = format!("upstream-{}", self.upstreams.len());
-        let mut settings = json!({
-            "name": name,
-            "listen": "127.0.0.1:0",
-            "centre": "north",
-            "routers": [self.http],
-            "announce": 100,
-            "linger": 100,
-            "faults": faults,
-        });
-        let extra = kind.as_object().unwrap().clone();
-        settings.as_object_mut().unwrap().extend(extra);
-        let settings = serde_json::from_value(settings).unwrap();
-        let standin = Standin::bind(settings).await.unwrap();
-        let address = standin.address();
-        let (stop, stopped) = oneshot::channel();
-        tokio::spawn(standin.run(async move {
-            let _ = stopped.await;
-        }));
-        self.upstreams.push(Upstream {
-            address,
-            stop: Some(stop),
-        });
-        self.until_known(&name).await;
+        let upstream = standin(self.http, &name, kind, faults).await;
+        let address = upstream.address;
+        self.upstreams.push(upstream);
+        until_known(self.http, &name).await;
         address
     }
 
@@ -183,15 +168,6 @@
         let _ = stop.send(());
     }
 
-    async fn until_known(&self, name: &str) {
-        until(async || {
-            let status = self.get("/status").await.json();
-            let rows = status["upstreams"].as_array().unwrap().clone();
-            rows.iter().any(|row| row["upstream"] == name)
-        })
-        .await;
-    }
-
     pub async fn get(&self, path: &str) -> Answer {
         self.send(Method::GET, path, &[], Bytes::new()).await
     }
@@ -288,6 +264,44 @@
     }
 }
 
+/// Starts a stand-in that announces itself to a router.
+pub async fn standin(router: SocketAddr, name: &str, kind: Value, faults: Faults) -> Upstream {
+    let mut settings = json!({
+        "name": name,
+        "listen": "127.0.0.1:0",
+        "centre": "north",
+        "routers": [router],
+        "announce": 100,
+        "linger": 100,
+        "faults": faults,
+    });
+    let extra = kind.as_object().unwrap().clone();
+    settings.as_object_mut().unwrap().extend(extra);
+    let settings = serde_json::from_value(settings).unwrap();
+    let standin = Standin::bind(settings).await.unwrap();
+    let address = standin.address();
+    let (stop, stopped) = oneshot::channel();
+    tokio::spawn(standin.run(async move {
+        let _ = stopped.await;
+    }));
+    Upstream {
+        address,
+        stop: Some(stop),
+    }
+}
+
+/// Waits until a router knows an upstream.
+pub async fn until_known(router: SocketAddr, name: &str) {
+    let client = HttpClient::new();
+    until(async || {
+        let none = Bytes::new();
+        let answer = send(&client, router, Method::GET, "/status", &[], none).await;
+        let rows = answer.json()["upstreams"].as_array().unwrap().clone();
+        rows.iter().any(|row| row["upstream"] == name)
+    })
+    .await;
+}
+
 /// Waits until a condition holds.
 pub async fn until(mut holds: impl AsyncFnMut() -> bool) {
     let wait = async {
