--- a/crates/cli/tests/fleet/budgets.rs
+++ b/crates/cli/tests/fleet/budgets.rs
@@ -11,7 +11,10 @@
 /// First deposit of the small budget, in tokens.
 const SMALL: u64 = 4_000;
 const MOST: u64 = 50;
-const ROUNDS: usize = 60;
+/// Chats that cost more than the small budget together.
+const MANY: usize = 100;
+/// Chats that are sent at once.
+const AT_ONCE: usize = 50;
 
 cases! {
     never_overspent: small(false) => run_down;
@@ -29,7 +32,7 @@
 
 /// Two routers spend a small budget to its end; a top-up lets them go on.
 async fn run_down(fleet: Fleet) {
-    let answers = spend(&fleet, "first", ROUNDS).await;
+    let answers = spend(&fleet, "first", MANY).await;
     let refused = answers.iter().filter(|answer| answer.status != 200).count();
     assert!(refused > 0, "the budget has to run out");
     for answer in answers.iter().filter(|answer| answer.status != 200) {
@@ -64,7 +67,7 @@
     fleet
         .cli("ayse", &["budget", "top-up", "renters", "2000"])
         .await;
-    let answers = spend(&fleet, "within", ROUNDS).await;
+    let answers = spend(&fleet, "within", MANY).await;
     let produced = Count::of(&fleet).await.produced;
     let refused = answers.iter().filter(|answer| answer.status != 200);
     for answer in refused {
@@ -83,7 +86,7 @@
         })
         .await;
     }
-    let all = spend(&fleet, "after", ROUNDS).await;
+    let all = spend(&fleet, "after", MANY).await;
     assert!(all.iter().all(|answer| [200, 429].contains(&answer.status)));
     let row = fleet.budget("renters").await;
     assert_eq!(row["prepaid"], SMALL + 2_000);
@@ -117,10 +120,10 @@
 }
 
 /// Sends chats through both routers, a few at once.
-async fn spend(fleet: &Fleet, name: &str, rounds: usize) -> Vec<Chat> {
+async fn spend(fleet: &Fleet, name: &str, count: usize) -> Vec<Chat> {
     let mut answers = Vec::new();
-    for first in (0..rounds).step_by(10) {
-        let last = rounds.min(first + 10);
+    for first in (0..count).step_by(AT_ONCE) {
+        let last = count.min(first + AT_ONCE);
         let chats = (first..last).map(|n| {
             let key = format!("{name}-{n}");
             let ask = fleet.ask(n % 2, "renter-chat", &format!("{name} {n} tokens=90"));
--- a/crates/cli/tests/fleet/control.rs
+++ b/crates/cli/tests/fleet/control.rs
@@ -59,19 +59,21 @@
     fleet.control[leader].freeze();
     let top_up = ["budget", "top-up", "renters", "77", "--id", "while-frozen"];
     found("the others to accept a change", || async {
-        let output = fleet.cli_at(&rest, "ayse", &top_up).await;
+        let output = fleet.cli_at(&rest, "ayse", "5", &top_up).await;
         output.status.success().then_some(())
     })
     .await;
     let revision = publish_again(&fleet, &rest).await;
     fleet.control[leader].thaw();
-    let shown = fleet.cli_at(&[old], "reader", &["config", "show"]).await;
+    let shown = fleet
+        .cli_at(&[old], "reader", "2", &["config", "show"])
+        .await;
     if shown.status.success() {
         let shown: Value = serde_json::from_slice(&shown.stdout).unwrap();
         assert_eq!(shown["revision"], revision, "never an older one");
     }
     let row = fleet
-        .cli_at(&[old], "reader", &["budget", "show", "renters"])
+        .cli_at(&[old], "reader", "2", &["budget", "show", "renters"])
         .await;
     if row.status.success() {
         let row: Value = serde_json::from_slice(&row.stdout).unwrap();
@@ -210,7 +212,7 @@
     let services = example("services");
     let args = ["publish", &services, "--id", "again"];
     let published = found("a revision to be accepted", || async {
-        let output = fleet.cli_at(control, "ayse", &args).await;
+        let output = fleet.cli_at(control, "ayse", "5", &args).await;
         serde_json::from_slice::<Value>(&output.stdout).ok()
     })
     .await;
--- a/crates/cli/tests/fleet/harness/fleet.rs
+++ b/crates/cli/tests/fleet/harness/fleet.rs
@@ -30,6 +30,8 @@
 static ROOM: Semaphore = Semaphore::const_new(2);
 static COUNT: AtomicU8 = AtomicU8::new(1);
 
+/// Longest wait of the operator's program where an answer is expected, in seconds.
+const PATIENT_SECONDS: &str = "30";
 const CONTROL_PORT: u16 = 7100;
 const RPC_PORT: u16 = 7200;
 const RELAY_PORT: u16 = 7300;
@@ -219,15 +221,22 @@
 
     /// Runs the operator's program and returns its output whatever it is.
     pub async fn cli_output(&self, operator: &str, args: &[&str]) -> Output {
-        self.cli_at(&self.control_addresses(), operator, args).await
+        let control = self.control_addresses();
+        self.cli_at(&control, operator, PATIENT_SECONDS, args).await
     }
 
     /// As [`Fleet::cli_output`], asking only some of the control replicas.
-    pub async fn cli_at(&self, control: &[SocketAddr], operator: &str, args: &[&str]) -> Output {
+    pub async fn cli_at(
+        &self,
+        control: &[SocketAddr],
+        operator: &str,
+        within: &str,
+        args: &[&str],
+    ) -> Output {
         let control: Vec<String> = control.iter().map(ToString::to_string).collect();
         let output = tokio::process::Command::new(env!("CARGO_BIN_EXE_chestnutnotch"))
             .args(args)
-            .args(["--json", "--within", "30", "--operator", operator])
+            .args(["--json", "--within", within, "--operator", operator])
             .args(["--control", &control.join(",")])
             .kill_on_drop(true)
             .output();
--- a/crates/cli/tests/fleet/main.rs
+++ b/crates/cli/tests/fleet/main.rs
@@ -1,8 +1,6 @@
 //! Whole fleets of real processes on loopback, and the failures they have to bear.
 #![allow(clippy::panic, clippy::unwrap_used)]
 
-#![allow(clippy::panic, clippy::unwrap_used)]
-
 #[macro_use]
 mod harness;
 
--- a/crates/cli/tests/operator.rs
+++ b/crates/cli/tests/operator.rs
@@ -1,8 +1,6 @@
 //! The operator's program without a fleet: checks, exit codes, keys, completions.
 #![allow(clippy::panic, clippy::unwrap_used)]
 
-#![allow(clippy::panic, clippy::unwrap_used)]
-
 use std::process::Command;
 use std::process::Output;
 
