A call that provably did not run is refused with 503

No worker could be reached, so nothing ran and a resend may be answered: 503 with Retry-After, as for every refusal for want of an upstream. It was 502 before.

--- a/crates/fleet/src/filters/refusal.rs
+++ b/crates/fleet/src/filters/refusal.rs
@@ -195,7 +195,8 @@
             | Self::NoUpstream
             | Self::Overloaded
             | Self::Shed { .. }
-            | Self::BillUnsafe => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::BillUnsafe
+            | Self::Failed(Ran::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed(_) | Self::Rejected(_) | Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::Deadline(_) => StatusCode::GATEWAY_TIMEOUT,
             Self::CallRunning => StatusCode::CONFLICT,
