--- a/crates/fleet/benches/router.rs
+++ b/crates/fleet/benches/router.rs
@@ -2,6 +2,7 @@
 //!
 //! The router runs on one thread of its own; engine, control and callers run on others. Every chat
 //! passes the whole chain, the bill included; the control process answers out of memory.
+#![allow(clippy::panic, clippy::unwrap_used)]
 
 #[path = "../tests/support/mod.rs"]
 mod support;
