--- a/crates/fleet/src/filters/refusal.rs
+++ b/crates/fleet/src/filters/refusal.rs
@@ -195,7 +195,8 @@
             | Self::NoUpstream
             | Self::Overloaded
             | Self::Shed { .. }
-            | Self::BillUnsafe => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::BillUnsafe
+            | Self::Failed(Ran::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed(_) | Self::Rejected(_) | Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::Deadline(_) => StatusCode::GATEWAY_TIMEOUT,
             Self::CallRunning => StatusCode::CONFLICT,
@@ -207,7 +208,7 @@
         match self {
             Self::Failed(ran) | Self::Deadline(ran) | Self::Quarantined { ran, .. } => *ran,
             Self::BillUnsafe => Ran::Ran,
-            Self::OutcomeUnknown | Self::CallRunning | Self::KeyReused => Ran::Unknown,
+            Self::OutcomeUnknown | Self::CallRunning => Ran::Unknown,
             _ => Ran::NotRun,
         }
     }
