--- a/crates/fleet/src/controllers/replica/founding.rs
+++ b/crates/core/src/replica/founding.rs
@@ -3,17 +3,28 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use chestnutnotch_core::id::ReplicaId;
-use chestnutnotch_core::map::Map;
-use chestnutnotch_core::replica::Members;
+use super::members::Members;
+use crate::id::ReplicaId;
+use crate::map::Map;
 
-use crate::edges::rpc::peer::Hello;
+/// What a replica says of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Hello {
+    /// Its identity.
+    pub id: ReplicaId,
+    /// Whether it knows of no group.
+    pub blank: bool,
+    /// Whether it asks to be taken into the group.
+    pub joins: bool,
+    /// Address it serves on.
+    pub address: SocketAddr,
+}
 
 /// Answers of all peers to one round of greetings; none from a peer that did not answer.
 pub type Round = Vec<(SocketAddr, Option<Hello>)>;
 
 /// What greetings have told.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Founding {
     book: Map<ReplicaId, SocketAddr>,
     blanks: Option<BTreeMap<SocketAddr, ReplicaId>>,
--- a/crates/core/src/replica/mod.rs
+++ b/crates/core/src/replica/mod.rs
@@ -9,6 +9,7 @@
 mod append;
 mod change;
 mod election;
+mod founding;
 mod input;
 mod log;
 mod members;
@@ -19,6 +20,9 @@
 mod rules;
 mod transfer;
 
+pub use founding::Founding;
+pub use founding::Hello;
+pub use founding::Round;
 pub use input::Campaign;
 pub use input::Input;
 pub use input::Output;
--- a/crates/fleet/src/controllers/replica/mod.rs
+++ b/crates/fleet/src/controllers/replica/mod.rs
@@ -3,7 +3,6 @@
 mod actor;
 mod apply;
 mod error;
-mod founding;
 mod handle;
 mod start;
 mod writer;
--- a/crates/fleet/src/edges/rpc/peer.rs
+++ b/crates/fleet/src/edges/rpc/peer.rs
@@ -12,6 +12,7 @@
 use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::map::Map;
 use chestnutnotch_core::map::Set;
+use chestnutnotch_core::replica::Hello;
 use chestnutnotch_core::replica::Message;
 use chestnutnotch_wire::proto;
 use chestnutnotch_wire::proto::peer_client::PeerClient;
@@ -86,19 +87,6 @@
     }
 }
 
-/// What a replica says of itself.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Hello {
-    /// Its identity.
-    pub id: ReplicaId,
-    /// Whether it knows of no group.
-    pub blank: bool,
-    /// Whether it asks to be taken into the group.
-    pub joins: bool,
-    /// Address it serves on.
-    pub address: SocketAddr,
-}
-
 /// What arrives from other replicas.
 #[derive(Debug)]
 pub enum Inbound {
--- a/crates/fleet/tests/replica_group.rs
+++ b/crates/fleet/tests/replica_group.rs
@@ -32,6 +32,7 @@
     emptied_disk_rejoins: emptied_disk();
     two_emptied_disks_wait_for_the_third: two_emptied_disks();
     planned_stop_hands_over: planned_stop();
+    relays_may_stand_between: relayed();
 }
 
 async fn agree(count: usize) {
@@ -213,3 +214,22 @@
     assert_eq!(group.handle(next).status().await.unwrap().term, term.next());
     group.stop(leader).await;
 }
+
+/// Each replica knows the others by addresses of its own settings.
+async fn relayed() {
+    let group = Group::start_through(3, 1_000, true).await;
+    let all = group.running();
+    assert_eq!(
+        group.submit(&all, &publish(0)).await,
+        Reply::Accepted(Revision(1))
+    );
+    let goal = Revision(1);
+    for at in all {
+        group
+            .until("level", async |g| {
+                g.handle(at).accepted().borrow().revision == goal
+            })
+            .await;
+    }
+    assert!(group.carried() > 0);
+}
--- a/crates/fleet/tests/replica_support/mod.rs
+++ b/crates/fleet/tests/replica_support/mod.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chestnutnotch::controllers::replica::ReplicaError;
@@ -20,7 +22,12 @@
 use chestnutnotch_core::id::SubmissionId;
 use chestnutnotch_core::unit::Revision;
 use tempfile::TempDir;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio_stream::wrappers::TcpListenerStream;
@@ -44,11 +51,66 @@
     pub replicas: Vec<Option<Running>>,
     pub snapshot: u64,
     pub election: u64,
+    /// Relays between the replicas, which count bytes; none if they connect directly.
+    pub relays: Vec<Vec<Relay>>,
+}
+
+/// Carries TCP connections to an address and counts their bytes in both directions.
+pub struct Relay {
+    pub address: SocketAddr,
+    pub bytes: Arc<AtomicU64>,
+}
+
+impl Relay {
+    async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let bytes = Arc::new(AtomicU64::new(0));
+        let total = Arc::clone(&bytes);
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let total = Arc::clone(&total);
+                tokio::spawn(async move {
+                    let far = TcpStream::connect(target).await.unwrap();
+                    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+                    let (near_in, near_out) = near.into_split();
+                    let (far_in, far_out) = far.into_split();
+                    let there = pump(near_in, far_out, &total);
+                    let back = pump(far_in, near_out, &total);
+                    tokio::join!(there, back);
+                });
+            }
+        });
+        Self { address, bytes }
+    }
+}
+
+async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, total: &AtomicU64) {
+    let mut buffer = vec![0; 64 << 10];
+    while let Ok(count @ 1..) = from.read(&mut buffer).await {
+        total.fetch_add(count as u64, Ordering::Relaxed);
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
 }
 
 impl Group {
     /// Starts a group of this many replicas.
     pub async fn start(count: usize, snapshot: u64) -> Self {
+        Self::start_through(count, snapshot, false).await
+    }
+
+    /// Bytes that the relays have carried.
+    pub fn carried(&self) -> u64 {
+        let relays = self.relays.iter().flatten();
+        relays
+            .map(|relay| relay.bytes.load(Ordering::Relaxed))
+            .sum()
+    }
+
+    /// Starts a group, with a relay for each direction between two replicas if asked for.
+    pub async fn start_through(count: usize, snapshot: u64, relayed: bool) -> Self {
         let mut listeners = Vec::new();
         for _ in 0..count {
             listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
@@ -61,7 +123,15 @@
             replicas: Vec::new(),
             snapshot,
             election: 300,
+            relays: Vec::new(),
         };
+        for _ in 0..if relayed { count } else { 0 } {
+            let mut relays = Vec::new();
+            for target in &group.addresses {
+                relays.push(Relay::start(*target).await);
+            }
+            group.relays.push(relays);
+        }
         for (at, listener) in listeners.into_iter().enumerate() {
             let running = group.run(at, listener).await;
             group.replicas.push(Some(running));
@@ -82,7 +152,13 @@
             snapshot: self.snapshot,
         };
         let timer = Timer::new();
-        let started = start_with(&settings, &self.addresses, &timer, self.switch.clone()).await;
+        let mut peers = self.addresses.clone();
+        for (other, relay) in self.relays.get(at).into_iter().flatten().enumerate() {
+            if other != at {
+                peers[other] = relay.address;
+            }
+        }
+        let started = start_with(&settings, &peers, &timer, self.switch.clone()).await;
         let (handle, service) = started.unwrap();
         let server = Server::builder().add_service(service.into_server());
         let incoming = TcpListenerStream::new(listener);
