--- a/crates/core/tests/ledger_random.rs
+++ b/crates/core/tests/ledger_random.rs
@@ -176,7 +176,7 @@
             return;
         };
         let command = self.net[at].clone();
-        if which % 2 == 0 || self.net.len() > 40 {
+        if which.is_multiple_of(2) || self.net.len() > 40 {
             self.net.remove(at);
         }
         let reply = apply(&mut self.machine, command.clone());
@@ -199,7 +199,7 @@
             return;
         };
         let (to, grants) = self.mail[at].clone();
-        if which % 2 == 0 || self.mail.len() > 40 {
+        if which.is_multiple_of(2) || self.mail.len() > 40 {
             self.mail.remove(at);
         }
         self.processes[to].purse.grant(Millis(self.now), grants);
