--- a/crates/core/src/ledger/policy.rs
+++ b/crates/core/src/ledger/policy.rs
@@ -5,8 +5,8 @@
 use crate::ledger::account::Account;
 use crate::unit::Tokens;
 
-/// Part of the unspent tokens that open holders may have drawn ahead together: one in this many.
-const AHEAD_PART: u128 = 2;
+/// Part of the unspent tokens that open holders may have drawn ahead together, in quarters.
+const AHEAD_QUARTERS: u128 = 2;
 
 /// A holder without recent spending counts as one with this part of the mean: one in this many.
 const FLOOR_PART: u128 = 4;
@@ -48,7 +48,7 @@
     let own = account.shares.get(holder).map_or(0, |share| share.rate.0);
     let weight = u128::from(own) + floor;
     let weights = rates + floor * count.max(1);
-    let level = unspent / AHEAD_PART * weight / weights;
+    let level = unspent / 4 * AHEAD_QUARTERS * weight / weights;
     Tokens(u64::try_from(level).unwrap_or(u64::MAX))
 }
 
@@ -57,11 +57,8 @@
     share.map_or(Tokens::ZERO, |share| share.rest)
 }
 
-/// Tokens to ask back from a holder: what others lack, or what it has far above its level.
+/// Tokens to ask back from a holder: what others lack.
 pub(super) fn recall(account: &Account, holder: &Holder) -> Tokens {
-    let rest = rest(account, holder);
-    let level = level(account, holder);
     let lacking = account.unmet(holder).saturating_sub(account.unallotted);
-    let surplus = rest.saturating_sub(level + level);
-    lacking.max(surplus).min(rest)
+    lacking.min(rest(account, holder))
 }
--- a/crates/core/src/ledger/purse.rs
+++ b/crates/core/src/ledger/purse.rs
@@ -146,15 +146,15 @@
         if self.left {
             return None;
         }
-        let seq = self.seq + 1;
-        let mut rows: Vec<DrawRow> = self
-            .rows
-            .iter_mut()
-            .filter_map(|(budget, row)| row.ask(now, seq, budget, self.fault))
-            .collect();
-        if rows.is_empty() {
+        self.rows.values_mut().for_each(|row| row.measure(now));
+        if !self.rows.values().any(|row| row.is_due(now)) {
             return None;
         }
+        let seq = self.seq + 1;
+        let near = self.rows.iter_mut().filter(|(_, row)| row.is_near(now));
+        let mut rows: Vec<DrawRow> = near
+            .map(|(budget, row)| row.ask(now, seq, budget, self.fault))
+            .collect();
         rows.sort_by(|a, b| a.budget.cmp(&b.budget));
         self.seq = seq;
         Some(Draw {
--- a/crates/core/src/ledger/row.rs
+++ b/crates/core/src/ledger/row.rs
@@ -12,10 +12,7 @@
 const STEP: Tokens = Tokens(20_000);
 
 /// Span of recent spending that is drawn ahead.
-const AHEAD_SECONDS: u64 = 900;
-
-/// Span of recent spending that is kept when others run short.
-const KEEP_SECONDS: u64 = 2;
+const AHEAD_SECONDS: u64 = 1_200;
 
 /// Least exposure asked for.
 const EXPOSURE_STEP: Tokens = Tokens(8_000);
@@ -26,21 +23,30 @@
 /// Least time between reports when the last one brought too little.
 const RETRY_MILLIS: Millis = Millis(100);
 
-/// Time between reports while more is allotted than left.
+/// Tokens are scarce while less than so many of the largest reservations are unallotted.
+const SCARCE_COUNT: u64 = 16;
+
+/// Time between reports while tokens are scarce.
 const SCARCE_MILLIS: Millis = Millis(500);
 
 /// Time between reports otherwise.
 const AMPLE_MILLIS: Millis = Millis(10_000);
 
 /// Without a reservation for this long, all is returned.
-const IDLE_MILLIS: Millis = Millis(60_000);
+const IDLE_MILLIS: Millis = Millis(300_000);
+
+/// How long the largest exposure is remembered, at least; at most twice as long.
+const PEAK_MILLIS: Millis = Millis(300_000);
 
 /// Age up to which the ledger's last word on the whole budget counts.
 const FRESH_MILLIS: Millis = Millis(2_000);
 
-/// Span over which the rate of spending is measured.
+/// Least span over which the rate of spending is measured.
 const RATE_MILLIS: Millis = Millis(1_000);
 
+/// Span over which older spending fades from the rate.
+const FADE_MILLIS: u64 = 600_000;
+
 /// All counts but `reserved` are cumulative.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub(super) struct Row {
@@ -55,8 +61,9 @@
     limit: Tokens,
     /// Largest reservation that failed since the last answer.
     need: Tokens,
-    /// Largest exposure needed of late; falls by an eighth with each answer.
-    peak: Tokens,
+    peak: Peak,
+    /// Largest reservation asked for.
+    largest: Tokens,
     /// Free tokens after the last answer.
     level: Tokens,
     /// Tokens asked back.
@@ -86,12 +93,22 @@
     spread: Tokens,
 }
 
+/// Largest exposure needed of late.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+struct Peak {
+    at: Millis,
+    last: Tokens,
+    this: Tokens,
+}
+
 /// Recent spending.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 struct Rate {
+    start: Option<Millis>,
     at: Millis,
     spent: Tokens,
-    per_second: Tokens,
+    /// Thousandths of a token per second.
+    milli: u64,
 }
 
 impl Row {
@@ -123,7 +140,8 @@
     pub fn reserve(&mut self, now: Millis, worst: Tokens) -> Result<(), Short> {
         let free = self.free();
         let exposed = self.exposed() + worst;
-        self.peak = self.peak.max(exposed);
+        self.peak.note(now, exposed);
+        self.largest = self.largest.max(worst);
         if free >= worst && exposed <= self.limit {
             self.reserved += worst;
             self.used = now;
@@ -150,18 +168,23 @@
         self.wasted += wasted;
     }
 
-    /// The report, if one is due.
-    pub fn ask(
-        &mut self,
-        now: Millis,
-        seq: u64,
-        budget: &Budget,
-        fault: Option<Fault>,
-    ) -> Option<DrawRow> {
+    /// Whether a report is due.
+    pub fn is_due(&self, now: Millis) -> bool {
+        self.is_past(now, 1)
+    }
+
+    /// Whether a report may go along with that of another budget.
+    pub fn is_near(&self, now: Millis) -> bool {
+        self.is_past(now, 2)
+    }
+
+    /// Measures the rate of spending.
+    pub fn measure(&mut self, now: Millis) {
         self.rate.measure(now, self.billed + self.wasted);
-        if !self.is_due(now) {
-            return None;
-        }
+    }
+
+    /// The report.
+    pub fn ask(&mut self, now: Millis, seq: u64, budget: &Budget, fault: Option<Fault>) -> DrawRow {
         self.hand_back(now);
         let exposure = self.wished_exposure();
         self.limit = self.limit.min(exposure);
@@ -180,15 +203,16 @@
             returned: self.returned,
             wasted: self.wasted,
             exposure,
-            rate: self.rate.per_second,
+            rate: self.rate.per_second(),
         };
         if fault == Some(Fault::KeepReturned) {
             self.returned = Tokens::ZERO;
         }
-        Some(row)
+        row
     }
 
-    fn is_due(&self, now: Millis) -> bool {
+    /// Whether a part of the time between reports is over, or there is another reason for one.
+    fn is_past(&self, now: Millis, part: u64) -> bool {
         let Some(last) = &self.last else {
             return self.need > Tokens::ZERO;
         };
@@ -198,9 +222,9 @@
         if now < last.at + RETRY_MILLIS {
             return false;
         }
-        let is_short = self.need > Tokens::ZERO || self.peak + self.peak > self.limit;
+        let is_short = self.need > Tokens::ZERO || self.peak.doubled() > self.limit;
         let has_idle = self.recall.min(self.idle()) > Tokens::ZERO;
-        is_short || has_idle || now >= last.at + self.interval(now)
+        is_short || has_idle || now >= last.at + Millis(self.interval(now).0 / part)
     }
 
     fn interval(&self, now: Millis) -> Millis {
@@ -209,10 +233,10 @@
         if is_settled {
             return Millis(u64::MAX);
         }
-        let is_scarce = self
-            .word
-            .as_ref()
-            .is_some_and(|word| word.unallotted < word.spread);
+        let is_scarce = self.word.as_ref().is_some_and(|word| {
+            let few = Tokens(self.largest.0.saturating_mul(SCARCE_COUNT));
+            word.unallotted < few
+        });
         let is_low = self.free().0 < self.level.0 / 2 && self.ahead(now) > self.free();
         if is_scarce || is_low {
             return SCARCE_MILLIS;
@@ -225,7 +249,7 @@
         if self.is_idle(now) {
             return Tokens::ZERO;
         }
-        STEP.max(Tokens(self.rate.per_second.0.saturating_mul(AHEAD_SECONDS)))
+        STEP.max(self.rate.over(AHEAD_SECONDS))
     }
 
     fn is_idle(&self, now: Millis) -> bool {
@@ -234,8 +258,7 @@
 
     /// Free tokens that are not about to be used.
     fn idle(&self) -> Tokens {
-        let keep = self.rate.per_second.0.saturating_mul(KEEP_SECONDS);
-        self.free().saturating_sub(Tokens(keep) + self.need)
+        self.free().saturating_sub(self.need)
     }
 
     fn hand_back(&mut self, now: Millis) {
@@ -251,7 +274,7 @@
     }
 
     fn wished_exposure(&mut self) -> Tokens {
-        let steps = (self.peak + self.peak).0.div_ceil(EXPOSURE_STEP.0).max(1);
+        let steps = self.peak.doubled().0.div_ceil(EXPOSURE_STEP.0).max(1);
         let wished = Tokens(EXPOSURE_STEP.0.saturating_mul(steps));
         wished.max(self.exposed())
     }
@@ -273,7 +296,6 @@
         self.limit = grant.exposure.min(last.exposure);
         self.recall = grant.recall;
         self.need = Tokens::ZERO;
-        self.peak = self.exposed().max(Tokens(self.peak.0 - self.peak.0 / 8));
         self.level = self.free();
         self.word = Some(Word {
             at: now,
@@ -297,17 +319,47 @@
     }
 }
 
+impl Peak {
+    fn note(&mut self, now: Millis, exposed: Tokens) {
+        if now >= self.at + PEAK_MILLIS {
+            self.at = now;
+            self.last = self.this;
+            self.this = Tokens::ZERO;
+        }
+        self.this = self.this.max(exposed);
+    }
+
+    fn doubled(&self) -> Tokens {
+        let peak = self.last.max(self.this);
+        peak + peak
+    }
+}
+
 impl Rate {
-    /// Rises at once and falls by half with each span.
+    /// A mean over the whole past at first, in which older spending fades later.
     fn measure(&mut self, now: Millis, spent: Tokens) {
-        let span = now.saturating_sub(self.at);
-        if span < RATE_MILLIS {
+        let start = *self.start.get_or_insert(now);
+        let span = now.saturating_sub(self.at).0;
+        if span < RATE_MILLIS.0 {
             return;
         }
-        let more = spent.saturating_sub(self.spent);
-        let recent = more.0.saturating_mul(1_000) / span.0.max(1);
-        self.per_second = Tokens(recent.max(self.per_second.0 / 2));
+        let more = spent.saturating_sub(self.spent).0;
+        let recent = more.saturating_mul(1_000_000) / span;
+        let past = now.saturating_sub(start).0.min(FADE_MILLIS);
+        let past = past.saturating_sub(span).saturating_add(1);
+        let (old, new) = (u128::from(self.milli), u128::from(recent));
+        let (past, span) = (u128::from(past), u128::from(span));
+        let mean = (old * past + new * span) / (past + span);
+        self.milli = u64::try_from(mean).unwrap_or(u64::MAX);
         self.at = now;
         self.spent = spent;
     }
+
+    fn per_second(&self) -> Tokens {
+        Tokens(self.milli / 1_000)
+    }
+
+    fn over(&self, seconds: u64) -> Tokens {
+        Tokens(self.milli.saturating_mul(seconds) / 1_000)
+    }
 }
