--- a/crates/core/examples/budget_policy.rs
+++ b/crates/core/examples/budget_policy.rs
@@ -108,6 +108,8 @@
     untrue: u64,
     /// The same while it could pay for many worst cases.
     untrue_many: u64,
+    /// The same, of budgets that do not run out.
+    untrue_ample: u64,
     over: u64,
     waits: Vec<u64>,
     messages: u64,
@@ -462,7 +464,9 @@
         let left = self.truths[request.budget].left();
         self.tally.refused += 1;
         self.tally.untrue += u64::from(left >= request.worst);
+        let is_ample = request.budget % 3 != 1;
         self.tally.untrue_many += u64::from(left >= MANY);
+        self.tally.untrue_ample += u64::from(left >= MANY && is_ample);
     }
 
     fn report(&mut self, router: usize) {
@@ -502,7 +506,7 @@
     let requests = tally.requests as f64;
     let share = |count: u64| 100.0 * count as f64 / requests;
     println!(
-        "| {} | {} | {way:?} | {} | {} | {} | {:.3}% | {:.3}% | {:.1} | {:.1} | {:.2} | {:.0} | {:.1} |",
+        "| {} | {} | {way:?} | {} | {} | {} | {:.3}% | {:.3}% | {:.3}% | {:.1} | {:.1} | {:.2} | {:.0} | {:.1} |",
         deployment.name,
         if has_cut { "cut" } else { "steady" },
         tally.requests,
@@ -510,6 +514,7 @@
         tally.refused,
         share(tally.untrue),
         share(tally.untrue_many),
+        share(tally.untrue_ample),
         millis(0.5),
         millis(0.99),
         tally.messages as f64 / requests,
@@ -520,10 +525,10 @@
 
 fn main() {
     println!(
-        "| deployment | run | way | requests | overspend | refused | false | false, 50 left | \
+        "| deployment | run | way | requests | overspend | refused | false | false, 50 left | false, 50 left, ample budgets | \
          wait p50 ms | wait p99 ms | messages/request | bytes/request | bytes/idle router second |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
     for deployment in DEPLOYMENTS {
         for has_cut in [false, true] {
             for way in [Way::Adaptive, Way::Even, Way::Central] {
