--- a/crates/fleet/src/controllers/spool.rs
+++ b/crates/fleet/src/controllers/spool.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use chestnutnotch_core::command::Bill;
+use chestnutnotch_core::command::Billed;
 use chestnutnotch_core::command::Command;
 use chestnutnotch_core::command::Reply;
 use chestnutnotch_core::command::Seal;
@@ -186,7 +187,13 @@
         return 0;
     }
     match client.submit(Command::Bill(bills), SUBMIT_TIME).await {
-        Ok(Reply::Billed(_)) => count,
+        Ok(Reply::Billed(billed)) => {
+            let refused = billed.iter().filter(|one| **one == Billed::Closed).count();
+            if refused > 0 {
+                log::error!("{refused} spooled bills came after their holders were sealed");
+            }
+            count
+        }
         Ok(_) | Err(_) => 0,
     }
 }
