--- /dev/null
+++ b/crates/core/examples/choice_policy/main.rs
@@ -0,0 +1,337 @@
+//! Measures the choice and the limits of a router fleet against simpler policies, in simulated time.
+//!
+//! `cargo run --release -p chestnutnotch-core --example choice_policy`. One seed, the real cores;
+//! the same requests for each policy. Prints Markdown tables. Two optional arguments keep only the
+//! scenarios and the policies whose names contain them; `sizes` alone prints bytes and memory.
+
+mod engine;
+mod fleet;
+mod sizes;
+mod work;
+
+use chestnutnotch_core::limit::GateRules;
+use chestnutnotch_core::upstream::Rules;
+
+use fleet::Fate;
+use fleet::Fleet;
+use fleet::Outcome;
+use fleet::PATIENCE_MICROS;
+use fleet::Policy;
+use fleet::Site;
+use fleet::Trouble;
+use work::Load;
+use work::Request;
+
+const SEED: u64 = 20_261_203;
+const WARM_MICROS: u64 = 20_000_000;
+const START_MICROS: u64 = 3_000_000;
+const SAMPLED_SHEDS: usize = 40;
+
+const SITES: [Site; 2] = [
+    Site {
+        name: "Kar Yolu",
+        centres: 4,
+        routers: 12,
+        engines: 12,
+        desks: 4,
+        way_micros: 500,
+    },
+    Site {
+        name: "Verband",
+        centres: 3,
+        routers: 10,
+        engines: 12,
+        desks: 3,
+        way_micros: 1_500,
+    },
+];
+
+/// A load with what befalls the fleet under it.
+struct Scenario {
+    name: &'static str,
+    load: Load,
+    trouble: Trouble,
+    /// Calls of the plain desk or booking service in place of chats.
+    desk: bool,
+}
+
+fn policies() -> Vec<Policy> {
+    let rules = Rules::default();
+    let gate = GateRules::default();
+    let ours = Policy {
+        name: "ours",
+        rules,
+        gate,
+        round_robin: false,
+    };
+    vec![
+        ours,
+        Policy {
+            name: "round robin",
+            rules: Rules {
+                affinity: 0,
+                ..rules
+            },
+            round_robin: true,
+            ..ours
+        },
+        Policy {
+            name: "least reported load",
+            rules: Rules {
+                own: false,
+                sample: usize::MAX,
+                affinity: 0,
+                ..rules
+            },
+            ..ours
+        },
+        Policy {
+            name: "no prefix weight",
+            rules: Rules {
+                affinity: 0,
+                ..rules
+            },
+            ..ours
+        },
+        Policy {
+            name: "no fair share",
+            gate: GateRules {
+                fair: false,
+                ..gate
+            },
+            ..ours
+        },
+        Policy {
+            name: "no foresight",
+            gate: GateRules {
+                foresight: false,
+                ..gate
+            },
+            ..ours
+        },
+        Policy {
+            name: "best of all",
+            rules: Rules {
+                sample: usize::MAX,
+                ..rules
+            },
+            ..ours
+        },
+        Policy {
+            name: "weight 250",
+            rules: Rules {
+                affinity: 250,
+                ..rules
+            },
+            ..ours
+        },
+        Policy {
+            name: "weight 1000",
+            rules: Rules {
+                affinity: 1_000,
+                ..rules
+            },
+            ..ours
+        },
+        Policy {
+            name: "no distance",
+            rules: Rules { remote: 0, ..rules },
+            ..ours
+        },
+    ]
+}
+
+fn scenarios() -> Vec<Scenario> {
+    let span = 180_000_000;
+    let mut flood = Load::ordinary(24.0, span);
+    flood.rates[work::LARGE] = 50.0;
+    let mut desk = Load::ordinary(60.0, span);
+    desk.desk = true;
+    vec![
+        Scenario {
+            name: "desk or booking calls, 60 a second",
+            load: desk,
+            trouble: Trouble::default(),
+            desk: true,
+        },
+        Scenario {
+            name: "steady, 32 requests/s",
+            load: Load::ordinary(32.0, span),
+            trouble: Trouble::default(),
+            desk: false,
+        },
+        Scenario {
+            name: "flood: the largest workspace at 50 requests/s",
+            load: flood,
+            trouble: Trouble::default(),
+            desk: false,
+        },
+        Scenario {
+            name: "all engines four times slower from 60 s to 120 s, 24 requests/s",
+            load: Load::ordinary(24.0, span),
+            trouble: Trouble {
+                slow: Some((60_000_000, 120_000_000)),
+                leave: None,
+            },
+            desk: false,
+        },
+        Scenario {
+            name: "an engine leaves at 60 s, half of the routers hear nothing from then on, 24 requests/s",
+            load: Load::ordinary(24.0, span),
+            trouble: Trouble {
+                slow: None,
+                leave: Some(60_000_000),
+            },
+            desk: false,
+        },
+    ]
+}
+
+fn main() {
+    let only = std::env::args().nth(1).unwrap_or_default();
+    let alone = std::env::args().nth(2).unwrap_or_default();
+    if only == "sizes" {
+        sizes::print();
+        return;
+    }
+    for site in SITES {
+        for scenario in scenarios() {
+            if !scenario.name.contains(&only) {
+                continue;
+            }
+            let engines = if scenario.desk {
+                site.desks
+            } else {
+                site.engines
+            };
+            let site = Site { engines, ..site };
+            let requests = scenario.load.requests(SEED, site.routers);
+            println!("\n{}: {}\n", site.name, scenario.name);
+            println!(
+                "| policy | first token p50/p95/p99 s | whole p50/p95/p99 s | cached | whole | shed | true | refused | missed | attempts/first | small: served, p95 first s | last new s |"
+            );
+            println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
+            for policy in policies() {
+                if !policy.name.contains(&alone) {
+                    continue;
+                }
+                let run = Fleet::new(site, policy, scenario.trouble, &requests).run();
+                let truth = match policy.name {
+                    "ours" => truth(site, policy, scenario.trouble, &requests, &run.outcomes),
+                    _ => None,
+                };
+                row(policy, scenario.trouble, &requests, &run, truth);
+            }
+        }
+    }
+}
+
+/// Of a sample of the sheds, how many requests would have missed their deadline had they waited.
+fn truth(
+    site: Site,
+    policy: Policy,
+    trouble: Trouble,
+    requests: &[Request],
+    outcomes: &[Outcome],
+) -> Option<(usize, usize)> {
+    let sheds: Vec<usize> = (0..outcomes.len())
+        .filter(|&n| outcomes[n].fate == Fate::Shed)
+        .collect();
+    let stride = sheds.len().div_ceil(SAMPLED_SHEDS).max(1);
+    let sample: Vec<usize> = sheds.into_iter().step_by(stride).collect();
+    if sample.is_empty() {
+        return None;
+    }
+    let missed = sample
+        .iter()
+        .filter(|&&index| {
+            let run = Fleet::new(site, policy, trouble, requests)
+                .sparing(index)
+                .run();
+            run.outcomes[index].fate != Fate::Whole
+        })
+        .count();
+    Some((missed, sample.len()))
+}
+
+fn row(
+    policy: Policy,
+    trouble: Trouble,
+    requests: &[Request],
+    run: &Fleet<'_>,
+    truth: Option<(usize, usize)>,
+) {
+    let counted: Vec<(&Request, &Outcome)> = requests
+        .iter()
+        .zip(&run.outcomes)
+        .filter(|(request, _)| request.at >= WARM_MICROS)
+        .collect();
+    let span = |request: &Request, at: u64| at.saturating_sub(request.at + START_MICROS);
+    let firsts = counted
+        .iter()
+        .filter_map(|(request, one)| one.first.map(|at| span(request, at)))
+        .collect();
+    let whole: Vec<&(&Request, &Outcome)> = counted
+        .iter()
+        .filter(|(_, one)| one.fate == Fate::Whole)
+        .collect();
+    let ends = whole
+        .iter()
+        .map(|(request, one)| span(request, one.end))
+        .collect();
+    let cached: u64 = whole.iter().map(|(_, one)| one.cached).sum();
+    let prompt: u64 = whole.iter().map(|(request, _)| request.prompt).sum();
+    let count = |fate: Fate| counted.iter().filter(|(_, one)| one.fate == fate).count();
+    let small: Vec<&(&Request, &Outcome)> = counted
+        .iter()
+        .filter(|(request, _)| request.workspace == work::SMALL)
+        .collect();
+    let served = small
+        .iter()
+        .filter(|(_, one)| one.fate == Fate::Whole)
+        .count();
+    let small_firsts = small
+        .iter()
+        .filter_map(|(request, one)| one.first.map(|at| span(request, at)))
+        .collect();
+    let last = trouble.leave.map_or("-".to_owned(), |when| {
+        seconds(run.last_sent.saturating_sub(when))
+    });
+    println!(
+        "| {} | {} | {} | {}% | {} | {} | {} | {} | {} | {:.3} | {}%, {} | {} |",
+        policy.name,
+        quantiles(firsts),
+        quantiles(ends),
+        100 * cached / prompt.max(1),
+        count(Fate::Whole),
+        count(Fate::Shed),
+        truth.map_or("-".to_owned(), |(missed, all)| format!("{missed}/{all}")),
+        count(Fate::Refused),
+        count(Fate::Missed),
+        run.attempts as f64 / run.firsts.max(1) as f64,
+        100 * served / small.len().max(1),
+        quantile(small_firsts, 95),
+        last,
+    );
+    debug_assert!(
+        counted
+            .iter()
+            .all(|(_, one)| one.end <= u64::MAX - PATIENCE_MICROS)
+    );
+}
+
+fn quantiles(all: Vec<u64>) -> String {
+    let parts: Vec<String> = [50, 95, 99].map(|part| quantile(all.clone(), part)).into();
+    parts.join("/")
+}
+
+fn quantile(mut all: Vec<u64>, part: usize) -> String {
+    all.sort_unstable();
+    let index = all.len() * part / 100;
+    all.get(index.min(all.len().saturating_sub(1)))
+        .map_or("-".to_owned(), |at| seconds(*at))
+}
+
+fn seconds(micros: u64) -> String {
+    format!("{:.3}", micros as f64 / 1_000_000.0)
+}
--- /dev/null
+++ b/crates/core/examples/choice_policy/sizes.rs
@@ -0,0 +1,104 @@
+//! Bytes of an announcement and memory of a table, by the number of upstreams kept in full.
+
+use std::time::Instant;
+
+use chestnutnotch_core::id::DataCentre;
+use chestnutnotch_core::id::Fingerprint;
+use chestnutnotch_core::id::Model;
+use chestnutnotch_core::id::Upstream;
+use chestnutnotch_core::unit::Incarnation;
+use chestnutnotch_core::unit::Millis;
+use chestnutnotch_core::upstream::Announcement;
+use chestnutnotch_core::upstream::Ended;
+use chestnutnotch_core::upstream::Kind;
+use chestnutnotch_core::upstream::Load;
+use chestnutnotch_core::upstream::Offer;
+use chestnutnotch_core::upstream::Phase;
+use chestnutnotch_core::upstream::Table;
+use chestnutnotch_core::upstream::Wanted;
+use chestnutnotch_core::upstream::announce::Loaded;
+
+const PAGE_BYTES: u64 = 4_096;
+const CHOICES: u32 = 20_000;
+
+/// Prints both tables.
+pub fn print() {
+    println!("| cache events | bytes of an announcement with 3 models (postcard) |");
+    println!("|---|---|");
+    for events in [0, 8, 32] {
+        let bytes = postcard::to_allocvec(&says(0, 1_000, events)).map_or(0, |bytes| bytes.len());
+        println!("| {events} | {bytes} |");
+    }
+    println!("\n| upstreams in full | resident KB, prefix views full | microseconds a choice |");
+    println!("|---|---|---|");
+    for rows in [16, 49, 453, 7_700] {
+        let before = resident();
+        let mut table = filled(rows);
+        let kept = resident().saturating_sub(before) / 1_024;
+        println!("| {rows} | {kept} | {:.1} |", choice_micros(&mut table));
+    }
+}
+
+fn filled(rows: u64) -> Table {
+    let mut table = Table::new(DataCentre::from("c0"));
+    for row in 0..rows {
+        for seq in 1..=16 {
+            table.observe(Millis(seq), says(row, seq, 32));
+        }
+    }
+    table
+}
+
+fn choice_micros(table: &mut Table) -> f64 {
+    let start = Instant::now();
+    for n in 0..CHOICES {
+        let wanted = Wanted {
+            kind: Kind::Model(Model::from("model-0"), None),
+            priority: 0,
+            prefixes: vec![1, 2, 3],
+            body: Fingerprint::of(n.to_le_bytes()),
+            avoid: Vec::new(),
+        };
+        if let Ok(pick) = table.choose(Millis(20), &wanted) {
+            table.end(Millis(20), pick.attempt, Ended::Whole);
+        }
+    }
+    start.elapsed().as_micros() as f64 / f64::from(CHOICES)
+}
+
+fn says(row: u64, seq: u64, events: u64) -> Announcement {
+    let loaded = (0..3).map(|n| Loaded {
+        model: Model::from(format!("model-{n}")),
+        adapter: None,
+        version: 1,
+    });
+    Announcement {
+        upstream: Upstream::from(format!("engine-{row:05}")),
+        incarnation: Incarnation(1_764_800_000_000),
+        seq,
+        address: ([10, 1, 2, 3], 8_000).into(),
+        centre: DataCentre::from("marmara-1"),
+        phase: Phase::Ready,
+        offer: Offer::Models(loaded.collect()),
+        slots: 64,
+        load: Load {
+            running: 20,
+            waiting: 3,
+            cache: 700,
+        },
+        fences: true,
+        cached: (0..events)
+            .map(|n| (seq * 64 + n).wrapping_mul(0x9e37_79b9_7f4a_7c15))
+            .collect(),
+        evicted: Vec::new(),
+    }
+}
+
+fn resident() -> u64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split_whitespace()
+        .nth(1)
+        .and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- a/crates/core/src/upstream/breaker.rs
+++ b/crates/core/src/upstream/breaker.rs
@@ -25,14 +25,25 @@
 }
 
 const FAULT_POINTS: u32 = 2;
+const LATE_POINTS: u32 = 1;
 const SUCCESS_POINTS: u32 = 1;
 const MOST_LEVELS: u32 = 5;
 
 impl Breaker {
     /// Counts a connection fault. Returns whether it ejects the upstream.
     pub fn fault(&mut self, now: Millis, rules: &Rules) -> bool {
+        self.count(now, FAULT_POINTS, rules)
+    }
+
+    /// Counts a missing answer. It weighs half of a fault: a slow upstream still gives answers that
+    /// make up for it, a stuck one does not.
+    pub fn late(&mut self, now: Millis, rules: &Rules) -> bool {
+        self.count(now, LATE_POINTS, rules)
+    }
+
+    fn count(&mut self, now: Millis, points: u32, rules: &Rules) -> bool {
         let trial = self.gateway(now) == Gateway::Trial;
-        self.score = self.score.saturating_add(FAULT_POINTS);
+        self.score = self.score.saturating_add(points);
         let limit = rules.faults.saturating_mul(FAULT_POINTS);
         if !trial && self.score < limit {
             return false;
--- a/crates/core/src/upstream/choice.rs
+++ b/crates/core/src/upstream/choice.rs
@@ -30,9 +30,11 @@
     pub fn choose(&self, rows: &[&Row], rng: &mut impl Rng) -> Option<usize> {
         let drawn = self.draw(rows.len(), rng);
         let cached = self.cached(rows);
+        let local = self.local(rows, rng);
         drawn
             .into_iter()
             .chain(cached)
+            .chain(local)
             .min_by_key(|&index| self.cost(rows[index]))
     }
 
@@ -51,6 +53,17 @@
         drawn
     }
 
+    /// One of those in this data centre, at random, for a request without a prompt: a short call
+    /// gains from a short way.
+    fn local(&self, rows: &[&Row], rng: &mut impl Rng) -> Option<usize> {
+        if self.rules.remote == 0 || !self.wanted.prefixes.is_empty() {
+            return None;
+        }
+        let near = |index: &usize| rows[*index].said.centre == *self.centre;
+        let count = (0..rows.len()).filter(near).count();
+        (0..rows.len()).filter(near).nth(below(rng, count.max(1)))
+    }
+
     fn cached(&self, rows: &[&Row]) -> Option<usize> {
         if self.rules.affinity == 0 || self.wanted.prefixes.is_empty() {
             return None;
--- a/crates/core/src/upstream/prefix.rs
+++ b/crates/core/src/upstream/prefix.rs
@@ -81,7 +81,7 @@
     }
 
     fn insert(&mut self, hash: u64, seen: Seen, rules: &Rules) {
-        if self.seen.len() >= rules.prefixes && !self.seen.contains_key(&hash) {
+        while self.seen.len() >= rules.prefixes.max(1) && !self.seen.contains_key(&hash) {
             self.shrink();
         }
         self.seen.insert(hash, seen);
@@ -101,5 +101,6 @@
         if self.seen.len() == before {
             self.seen.clear();
         }
+        self.seen.shrink_to(middle);
     }
 }
--- a/crates/core/src/upstream/rules.rs
+++ b/crates/core/src/upstream/rules.rs
@@ -18,8 +18,10 @@
     pub own: bool,
     /// Weight of a wholly cached prompt.
     pub affinity: u32,
-    /// Prefixes remembered for an upstream.
+    /// Most prefixes remembered for an upstream.
     pub prefixes: usize,
+    /// Prefixes remembered for all upstreams together; each gets an even part.
+    pub room: usize,
     /// How long a prefix counts as cached without a new sign of it.
     pub cached: Millis,
     /// How late an upstream's cache events are at most.
@@ -67,8 +69,9 @@
             rows: 8_192,
             sample: 2,
             own: true,
-            affinity: 250,
+            affinity: 500,
             prefixes: 512,
+            room: 32_768,
             cached: Millis(60_000),
             lag: Millis(2_000),
             remote: 20,
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -110,6 +110,7 @@
 pub struct Table {
     centre: DataCentre,
     rules: Rules,
+    prefixes: usize,
     rng: ChaCha8Rng,
     rows: Map<Upstream, Row>,
     flights: Map<Attempt, Flight>,
@@ -148,6 +149,7 @@
         Self {
             centre,
             rules,
+            prefixes: rules.prefixes,
             rng: ChaCha8Rng::seed_from_u64(seed),
             rows: Map::default(),
             flights: Map::default(),
@@ -195,6 +197,7 @@
         }
         let row = Row::new(now, said, &self.rules);
         self.rows.insert(row.said.upstream.clone(), row);
+        self.rules.prefixes = self.prefixes.min(self.rules.room / self.rows.len());
         true
     }
 
@@ -294,10 +297,13 @@
         match ended {
             Ended::Whole => row.worked(now),
             Ended::Overload => row.breaker.overload(now, &self.rules),
-            Ended::Unreachable | Ended::Broken | Ended::Late => {
+            Ended::Unreachable | Ended::Broken => {
                 row.doubt = true;
                 row.breaker.fault(now, &self.rules);
             }
+            Ended::Late => {
+                row.breaker.late(now, &self.rules);
+            }
             Ended::Neutral => {}
         }
     }
