--- a/crates/core/src/ledger/bills.rs
+++ b/crates/core/src/ledger/bills.rs
@@ -1,6 +1,6 @@
 //! Bills by request: a grow-only set within its horizon.
 
-use std::collections::VecDeque;
+use std::collections::BTreeSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,7 +27,8 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub(super) struct Bills {
     entries: Map<RequestId, Entry>,
-    order: VecDeque<(Millis, RequestId)>,
+    /// Requests by the time of their first bill.
+    order: BTreeSet<(Millis, RequestId)>,
 }
 
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -51,7 +52,7 @@
     /// Takes in a bill.
     pub fn insert(&mut self, at: Millis, bill: &Bill) -> Novelty {
         let Some(entry) = self.entries.get_mut(&bill.id) else {
-            self.order.push_back((at, bill.id.clone()));
+            self.order.insert((at, bill.id.clone()));
             let entry = Entry {
                 bill: bill.clone(),
                 merged: Vec::new(),
@@ -62,6 +63,12 @@
         entry.merge(bill)
     }
 
+    /// Whether this very bill was taken before.
+    pub fn knows(&self, bill: &Bill) -> bool {
+        let entry = self.entries.get(&bill.id);
+        entry.is_some_and(|entry| entry.contains(bill))
+    }
+
     /// The bill of a request.
     pub fn get(&self, id: &RequestId) -> Option<&Bill> {
         self.entries.get(id).map(|entry| &entry.bill)
@@ -70,14 +77,14 @@
     /// Drops entries that are past the horizon.
     pub fn prune(&mut self, now: Millis) {
         for _ in 0..PRUNE_BATCH {
-            let Some((at, _)) = self.order.front() else {
+            let Some((at, _)) = self.order.first() else {
                 return;
             };
             let is_old = *at + BILL_HORIZON_MILLIS < now;
             if !is_old && self.order.len() <= MAX_BILLS {
                 return;
             }
-            if let Some((_, id)) = self.order.pop_front() {
+            if let Some((_, id)) = self.order.pop_first() {
                 self.entries.remove(&id);
             }
         }
@@ -85,14 +92,19 @@
 }
 
 impl Entry {
-    fn merge(&mut self, bill: &Bill) -> Novelty {
+    fn contains(&self, bill: &Bill) -> bool {
         let is_first = self.bill.holder == bill.holder && self.bill.attempt == bill.attempt;
-        let attempt = (bill.holder.clone(), bill.attempt);
-        if is_first || self.merged.contains(&attempt) {
+        let mut merged = self.merged.iter();
+        is_first
+            || merged.any(|(holder, attempt)| *holder == bill.holder && *attempt == bill.attempt)
+    }
+
+    fn merge(&mut self, bill: &Bill) -> Novelty {
+        if self.contains(bill) {
             return Novelty::Known;
         }
         if self.merged.len() < MAX_MERGED {
-            self.merged.push(attempt);
+            self.merged.push((bill.holder.clone(), bill.attempt));
         }
         Novelty::Other
     }
--- a/crates/core/src/machine/fault.rs
+++ b/crates/core/src/machine/fault.rs
@@ -18,12 +18,12 @@
     FreeUnsealed,
     /// A closed holder's exposure is free as soon as the replicas sealed.
     FreeExposure,
+    /// Bills of a sealed holder are taken.
+    BillSealed,
     /// A late standing raises the exposure that a holder obeys.
     LateExposure,
     /// A holder counts returned tokens as its own.
     KeepReturned,
-    /// A closed holder may still draw.
-    DrawClosed,
     /// A claim is granted to another try while one runs.
     ClaimRunning,
     /// A resent claim is granted again after its try concluded.
@@ -36,4 +36,8 @@
     AnyBase,
     /// A resent publish or top-up is not recognised.
     ForgetSubmission,
+    /// A follower takes an older configuration.
+    OlderRevision,
+    /// A follower takes its first configuration without a confirmation.
+    UnconfirmedStart,
 }
--- a/crates/core/src/replica/append.rs
+++ b/crates/core/src/replica/append.rs
@@ -94,9 +94,10 @@
             let Some(term) = self.log.term(index) else {
                 return self.start_transfer(to, out);
             };
+            let most = if self.rules.single { 1 } else { APPEND_ENTRIES };
             let entries = match peer.flow {
                 Flow::Stream(_) if !peer.ready() => &[],
-                _ => self.log.slice(peer.next, APPEND_ENTRIES, APPEND_BYTES),
+                _ => self.log.slice(peer.next, most, APPEND_BYTES),
             };
             match &mut peer.flow {
                 Flow::Probe { sent } => *sent = true,
@@ -138,9 +139,11 @@
                 None => return,
             }
         } else {
+            // What is dropped was committed, so the leader shares it.
+            let hint = self.log.at_most(prev.index, prev.term);
             Outcome::Conflict {
                 prev: prev.index,
-                hint: self.log.at_most(prev.index, prev.term),
+                hint: hint.unwrap_or(self.log.base()),
             }
         };
         let message = Message::Appended(Appended {
@@ -209,8 +212,10 @@
             Outcome::Conflict { prev, hint } => {
                 let current = prev.next() == peer.next || matches!(peer.flow, Flow::Stream(_));
                 if current && prev > peer.matched {
+                    // A shared entry that is dropped here is sent in a snapshot.
+                    let dropped = self.log.base().index.saturating_sub(Index(1));
                     let shared = self.log.at_most(hint.index, hint.term);
-                    peer.conflicts(shared.index.min(hint.index));
+                    peer.conflicts(shared.map_or(dropped, |at| at.index));
                 }
             }
         }
