--- a/crates/core/src/upstream/quarantine.rs
+++ b/crates/core/src/upstream/quarantine.rs
@@ -113,6 +113,7 @@
             mark.told = true;
             self.found.push(mark.crash(body));
         }
+        self.found.truncate(MOST_FOUND);
     }
 
     /// The upstream crashed while it ran the request. Returns whether that is news.
