--- a/crates/fleet/tests/router_chat.rs
+++ b/crates/fleet/tests/router_chat.rs
@@ -282,6 +282,58 @@
     }
 );
 
+case!(
+    chat_waits_for_tokens_that_others_hand_back,
+    PREPAID,
+    |mut bench| async move {
+        bench.engine(0, Faults::default()).await;
+        bench.control.state().withhold = 3;
+        let answer = bench.chat(&[], &chat("boots", 8, false)).await;
+        assert_eq!(answer.text(), expected("boots", 8));
+        assert_eq!(bench.control.state().withhold, 0);
+        assert_eq!(bench.count("reservations", "after_wait").await, 1);
+    }
+);
+
+case!(
+    short_allotment_is_refused_as_not_run,
+    PREPAID,
+    |mut bench| async move {
+        bench.engine(0, Faults::default()).await;
+        bench.control.state().withhold = u32::MAX;
+        let answer = bench.chat(&[], &chat("boots", 8, false)).await;
+        assert_eq!(
+            (answer.status, answer.code()),
+            (StatusCode::TOO_MANY_REQUESTS, "allotment_short".into())
+        );
+        assert_eq!(answer.ran(), "not_run");
+        assert_eq!(bench.stats(0).await.requests, 0);
+    }
+);
+
+case!(
+    late_engine_is_left_for_another,
+    PREPAID,
+    |mut bench| async move {
+        let faults = Faults {
+            slow: 3_000,
+            ..Faults::default()
+        };
+        bench.engine(0, faults).await;
+        bench.engine(0, Faults::default()).await;
+        for number in 0..4 {
+            let word = format!("boots{number}");
+            let answer = bench.chat(&[], &chat(&word, 4, number % 2 == 0)).await;
+            assert_eq!(answer.status, StatusCode::OK);
+        }
+        assert_eq!(bench.control.state().bills.len(), 4);
+        until(async || {
+            bench.count("cancels", "acknowledged").await == bench.count("attempts", "late").await
+        })
+        .await;
+    }
+);
+
 case!(
     abandoned_chat_is_cancelled_and_its_tokens_wasted,
     PREPAID,
--- a/crates/fleet/tests/support/control.rs
+++ b/crates/fleet/tests/support/control.rs
@@ -62,6 +62,8 @@
     pub spooled: Vec<Bill>,
     /// Claims: body, and the end if known.
     pub claims: BTreeMap<RequestId, (Fingerprint, u64, Option<CallEnd>)>,
+    /// Reports that are granted nothing yet, as other holders have the tokens.
+    pub withhold: u32,
     /// No command is answered.
     pub mute: bool,
     /// No bill is spooled.
@@ -132,16 +134,24 @@
 
     fn grant(&mut self, draw: Draw) -> Reply {
         let mut grants = Vec::new();
+        let withheld = self.withhold > 0;
+        self.withhold = self.withhold.saturating_sub(1);
         for row in &draw.rows {
-            self.granted = self.granted.max(row.want.0.min(self.prepaid));
+            if !withheld {
+                self.granted = self.granted.max(row.want.0.min(self.prepaid));
+            }
             grants.push(Grant {
                 budget: row.budget.clone(),
                 seq: draw.seq,
                 granted: Tokens(self.granted),
                 exposure: Tokens(self.granted),
                 recall: Tokens::ZERO,
-                unallotted: Tokens(self.prepaid - self.granted),
-                spread: Tokens(self.granted),
+                unallotted: Tokens(if withheld {
+                    0
+                } else {
+                    self.prepaid - self.granted
+                }),
+                spread: Tokens(if withheld { self.prepaid } else { self.granted }),
             });
         }
         self.draw = Some(draw);
