A stand-in that crashes answers nothing more

The connection was cut before the process ended, so a router that asked at once still heard the same incarnation, and the evidence of the crash was void.

--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -79,6 +80,7 @@
     seq: AtomicU64,
     overdue: AtomicU64,
     crash: Notify,
+    dead: AtomicBool,
 }
 
 #[derive(Debug)]
@@ -111,6 +113,7 @@
             seq: AtomicU64::new(0),
             overdue: AtomicU64::new(0),
             crash: Notify::new(),
+            dead: AtomicBool::new(false),
             role,
             address,
             settings,
@@ -178,6 +181,9 @@
 }
 
 async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    if shared.dead.load(Ordering::Relaxed) {
+        std::future::pending::<()>().await;
+    }
     let (head, body) = request.into_parts();
     let Some(body) = collect(body).await else {
         return Ok(error(StatusCode::PAYLOAD_TOO_LARGE, "too_large"));
@@ -205,7 +211,7 @@
 ) -> Result<Response<Body>, Cut> {
     match target {
         (&Method::POST, "/v1/chat/completions") => {
-            shared.admit(body)?;
+            shared.admit(body).await;
             let id = header(headers, "x-request-id").map(Arc::from);
             Ok(engine.chat(id, body, &shared.faults).await)
         }
@@ -227,7 +233,7 @@
     if target == (&Method::GET, "/stock") {
         return Ok(desk.stock());
     }
-    shared.admit(body)?;
+    shared.admit(body).await;
     let faults = shared.faults();
     if faults.refuse {
         return Ok(error(StatusCode::SERVICE_UNAVAILABLE, "overloaded"));
@@ -240,8 +246,7 @@
         _ => error(StatusCode::NOT_FOUND, "unknown_path"),
     };
     if faults.die {
-        shared.crash.notify_one();
-        return Err(Cut);
+        shared.die().await;
     }
     if faults.cut.is_some() {
         return Err(Cut);
@@ -282,19 +287,24 @@
     }
 
     /// Counts work that comes after the leaving notice, and crashes on the marked word.
-    fn admit(&self, body: &[u8]) -> Result<(), Cut> {
+    async fn admit(&self, body: &[u8]) {
         if *self.phase.borrow() == Phase::Leaving {
             self.overdue.fetch_add(1, Ordering::Relaxed);
         }
-        match self.faults().crash {
-            Some(word) if holds(body, word.as_bytes()) => {
-                self.crash.notify_one();
-                Err(Cut)
-            }
-            _ => Ok(()),
+        if let Some(word) = self.faults().crash
+            && holds(body, word.as_bytes())
+        {
+            self.die().await;
         }
     }
 
+    /// Ends the stand-in. Nothing is answered any more: the connections go when the process does.
+    async fn die(&self) {
+        self.dead.store(true, Ordering::Relaxed);
+        self.crash.notify_one();
+        std::future::pending::<()>().await;
+    }
+
     fn switch(&self, body: &[u8]) -> Response<Body> {
         let Ok(faults) = serde_json::from_slice::<Faults>(body) else {
             return error(StatusCode::BAD_REQUEST, "malformed");
