--- a/crates/fleet/src/edges/rpc/control.rs
+++ b/crates/fleet/src/edges/rpc/control.rs
@@ -135,6 +135,11 @@
         let bills = request.into_inner().bills.into_iter();
         let bills: Result<Vec<Bill>, _> = bills.map(Bill::try_from).collect();
         let bills = bills.map_err(malformed)?;
+        // Only voters seal closed holders, so only voters may keep bills of open ones.
+        let status = self.replica.status().await.map_err(refused)?;
+        if !status.voters.contains(&status.id) {
+            return Err(Status::unavailable("this replica does not vote"));
+        }
         match call_t!(self.spool, SpoolMessage::Keep, SPOOL_MILLIS, bills) {
             Ok(Ok(())) => Ok(Response::new(proto::SpoolReply {})),
             Ok(Err(error @ SpoolError::Sealed(_))) => {
