A refusal for quarantine waits until the other routers know the evidence

Evidence that came up while a peer was being told other things also waited for the next period. Now it follows at once, and the refusal is held until the peers have it, at most 200 ms.

--- a/crates/fleet/src/controllers/spread.rs
+++ b/crates/fleet/src/controllers/spread.rs
@@ -57,6 +57,7 @@
             host: host.clone(),
             peers,
             periods: 0,
+            breaks: 0,
             upstreams: upstreams.clone(),
             metrics,
         };
@@ -158,6 +159,8 @@
     host: Host,
     peers: Vec<Peer>,
     periods: u64,
+    /// Attempts that had broken off when evidence was collected last.
+    breaks: u64,
     upstreams: Upstreams,
     metrics: Arc<Metrics>,
 }
@@ -197,7 +200,14 @@
             Message::Tick => state.tick(&myself),
             Message::Probe => state.probe(&myself),
             Message::Collect => state.collect(&myself),
-            Message::Sent { peer, failed } => state.sent(peer, failed),
+            Message::Sent { peer, failed } => {
+                let again = failed.is_none();
+                state.sent(peer, failed);
+                if again && state.has_evidence(peer) {
+                    state.flush(&myself);
+                }
+                state.note_told();
+            }
         }
         Ok(())
     }
@@ -233,6 +243,7 @@
 
     /// Spreads the crash evidence that the answers of upstreams, or their silence, gave.
     fn collect(&mut self, myself: &ActorRef<Message>) {
+        self.breaks = self.upstreams.breaks();
         let found = self.upstreams.crashes();
         self.metrics.crashes.add_many("found", found.len() as u64);
         for crash in &found {
@@ -241,6 +252,15 @@
         if !found.is_empty() {
             self.flush(myself);
         }
+        self.note_told();
+    }
+
+    /// Notes that no evidence is on its way any more, so that refusals for it can be answered.
+    fn note_told(&self) {
+        let is_told = |peer: &Peer| !peer.busy && peer.outbox.crashes.is_empty();
+        if self.peers.iter().all(is_told) {
+            self.upstreams.set_told(self.breaks);
+        }
     }
 
     fn tick(&mut self, myself: &ActorRef<Message>) {
@@ -296,6 +316,12 @@
         }
     }
 
+    /// Whether evidence came up for a peer while it was being told other things.
+    fn has_evidence(&self, index: usize) -> bool {
+        let peer = self.peers.get(index);
+        peer.is_some_and(|peer| !peer.outbox.crashes.is_empty())
+    }
+
     fn sent(&mut self, index: usize, failed: Option<Outbox>) {
         let Some(peer) = self.peers.get_mut(index) else {
             return;
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -7,6 +7,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chestnutnotch_core::id::DataCentre;
@@ -29,6 +31,7 @@
 use http::Method;
 use http::StatusCode;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::edges::http::HttpClient;
 use crate::edges::http::client::Call;
@@ -37,6 +40,7 @@
 use crate::timer::Timer;
 
 const ASK_WITHIN: Duration = Duration::from_millis(500);
+const TELL_WITHIN: Duration = Duration::from_millis(200);
 
 /// Largest announcement, in bytes.
 pub const ANNOUNCEMENT_BYTES: usize = 64 << 10;
@@ -59,6 +63,8 @@
     client: HttpClient,
     routers: u32,
     broken: Arc<Notify>,
+    breaks: Arc<AtomicU64>,
+    told: watch::Sender<u64>,
     timer: Timer,
     metrics: Arc<Metrics>,
 }
@@ -78,6 +84,8 @@
             client,
             routers,
             broken: Arc::new(Notify::new()),
+            breaks: Arc::new(AtomicU64::new(0)),
+            told: watch::Sender::new(0),
             timer,
             metrics,
         }
@@ -123,6 +131,7 @@
         });
         self.table().end(self.timer.now(), attempt, ended);
         if ended == Ended::Broken {
+            self.breaks.fetch_add(1, Ordering::AcqRel);
             self.broken.notify_one();
         }
     }
@@ -132,6 +141,30 @@
         self.broken.notified().await;
     }
 
+    /// Number of attempts that broke off so far.
+    pub fn breaks(&self) -> u64 {
+        self.breaks.load(Ordering::Acquire)
+    }
+
+    /// The other routers know what the first `breaks` attempts that broke off gave in evidence.
+    pub fn set_told(&self, breaks: u64) {
+        self.told.send_if_modified(|told| {
+            let later = breaks > *told;
+            *told = breaks.max(*told);
+            later
+        });
+    }
+
+    /// Waits until the other routers know the evidence that this one has now, but not for long on
+    /// a router that does not answer.
+    pub async fn told(&self) {
+        let breaks = self.breaks();
+        let mut told = self.told.subscribe();
+        let known = told.wait_for(|told| *told >= breaks);
+        // In either case the request is not run here.
+        let _ = tokio::time::timeout(TELL_WITHIN, known).await;
+    }
+
     /// The counters.
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
--- a/crates/fleet/src/filters/choose.rs
+++ b/crates/fleet/src/filters/choose.rs
@@ -37,6 +37,8 @@
                 Err(Absent::Full) => tokio::time::sleep(FULL_PAUSE).await,
                 Err(Absent::NoneKnown | Absent::NoneUsable) => return Err(Refusal::NoUpstream),
                 Err(Absent::Quarantined { until } | Absent::Suspect { until }) => {
+                    // The caller may resend through another router as soon as it is refused.
+                    self.upstreams.told().await;
                     let after = seconds(until.saturating_sub(self.timer.now()));
                     return Err(Refusal::Quarantined { after, ran });
                 }
