An early end of joining is not lost; a chat abandoned before its head is cancelled

The error of a join that had ended before it was waited for was dropped, so that a router would have waited for ever.

--- a/crates/fleet/src/router.rs
+++ b/crates/fleet/src/router.rs
@@ -78,7 +78,7 @@
     http: SocketAddr,
     rpc: SocketAddr,
     drain: Duration,
-    joining: JoinHandle<Result<(), RouterError>>,
+    joining: Option<JoinHandle<Result<(), RouterError>>>,
     servers: Vec<(oneshot::Sender<()>, JoinHandle<()>)>,
 }
 
@@ -132,7 +132,7 @@
             http,
             rpc,
             drain,
-            joining: tokio::spawn(starting.join(nonce)),
+            joining: Some(tokio::spawn(starting.join(nonce))),
             servers: vec![(stop_http, http_server), (stop_rpc, rpc_server)],
         })
     }
@@ -156,10 +156,12 @@
 
     /// Waits until the router can serve no more by itself.
     pub async fn failed(&mut self) -> RouterError {
-        if !self.joining.is_finished()
-            && let Ok(Err(error)) = (&mut self.joining).await
-        {
-            return error;
+        if let Some(joining) = &mut self.joining {
+            let outcome = joining.await;
+            self.joining = None;
+            if let Ok(Err(error)) = outcome {
+                return error;
+            }
         }
         let mut stage = self.front.lifecycle.follow();
         // See `ready`.
@@ -175,7 +177,9 @@
         if tokio::time::timeout(self.drain, idle).await.is_err() {
             log::warn!("requests were still in flight at the end of the drain time");
         }
-        self.joining.abort();
+        if let Some(joining) = &self.joining {
+            joining.abort();
+        }
         if let Some(chain) = self.front.chain.get() {
             leave(chain).await;
         }
--- a/crates/fleet/tests/router_chat.rs
+++ b/crates/fleet/tests/router_chat.rs
@@ -356,6 +356,25 @@
     }
 );
 
+case!(
+    abandoned_chat_without_a_stream_is_cancelled,
+    PREPAID,
+    |mut bench| async move {
+        bench.engine(20, Faults::default()).await;
+        let body = chat("boots", 300, false);
+        let asked = bench.chat(&[], &body);
+        assert!(
+            tokio::time::timeout(Duration::from_millis(300), asked)
+                .await
+                .is_err()
+        );
+        until(async || bench.count("cancels", "acknowledged").await == 1).await;
+        let stats = bench.stats(0).await;
+        assert!(stats.produced < 300);
+        assert!(bench.control.state().bills.is_empty());
+    }
+);
+
 case!(
     full_engine_is_passed_over,
     PREPAID,
