Look again before the gate refuses for want of upstreams

A router that had just heard of an upstream from another refused requests with no_upstream for up to 50 ms, until the gate's next period.

--- a/crates/fleet/src/controllers/gate.rs
+++ b/crates/fleet/src/controllers/gate.rs
@@ -129,7 +129,17 @@
     ///
     /// [`Shed`] if it is refused under load.
     pub async fn enter(&self, asking: Asking) -> Result<Pass, Shed> {
-        let (told, pass) = self.arrive(asking)?;
+        let arrived = match self.arrive(asking.clone()) {
+            // The upstream may have been heard of since the last period.
+            Err(shed) if shed.reason == ShedReason::Closed => {
+                self.refresh();
+                self.arrive(asking)
+            }
+            arrived => arrived,
+        };
+        let (told, pass) = arrived.inspect_err(|shed| {
+            self.metrics.admissions.add(word(shed.reason));
+        })?;
         let Some(told) = told else {
             self.metrics.admissions.add("at_once");
             return Ok(pass);
@@ -165,10 +175,7 @@
                 inner.waiting.insert(ticket, tx);
                 Some(rx)
             }
-            Verdict::Shed(shed) => {
-                self.metrics.admissions.add(word(shed.reason));
-                return Err(shed);
-            }
+            Verdict::Shed(shed) => return Err(shed),
         };
         inner.release(now);
         let pass = Pass {
