A quarantined request is refused at once; a marked one waits before it runs again

The refusal was held up to 200 ms so that a resend through another router would not overtake the evidence. A request that is given up on has to get its answer at once. The wait now stands before the second run of a marked request, on each router: what is known is told to the others, then 100 ms pass in which their evidence can come in.

--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -236,6 +236,12 @@
             .ok_or(Absent::NoneUsable)
     }
 
+    /// Whether the request broke an upstream off once, so that it may run once more.
+    pub fn is_marked(&self, body: &Fingerprint) -> bool {
+        let suspicion = self.quarantine.suspicion(body, self.rules.quarantine);
+        suspicion == Suspicion::Marked
+    }
+
     /// Whether the request is marked by an earlier crash.
     fn admit(&self, now: Millis, body: &Fingerprint) -> Result<bool, Absent> {
         match self.quarantine.suspicion(body, self.rules.quarantine) {
--- a/crates/fleet/src/controllers/spread.rs
+++ b/crates/fleet/src/controllers/spread.rs
@@ -255,7 +255,7 @@
         self.note_told();
     }
 
-    /// Notes that no evidence is on its way any more, so that refusals for it can be answered.
+    /// Notes that no evidence is on its way any more, so that marked requests can be run once more.
     fn note_told(&self) {
         let is_told = |peer: &Peer| !peer.busy && peer.outbox.crashes.is_empty();
         if self.peers.iter().all(is_told) {
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -41,6 +41,7 @@
 
 const ASK_WITHIN: Duration = Duration::from_millis(500);
 const TELL_WITHIN: Duration = Duration::from_millis(200);
+const EVIDENCE_PAUSE: Duration = Duration::from_millis(100);
 
 /// Largest announcement, in bytes.
 pub const ANNOUNCEMENT_BYTES: usize = 64 << 10;
@@ -119,6 +120,16 @@
         self.table().choose(self.timer.now(), wanted)
     }
 
+    /// Lets crash evidence of a marked request arrive before the request is run once more: the
+    /// other routers learn what this one knows, and what they found has time to come in.
+    pub async fn settle(&self, wanted: &Wanted) {
+        if !self.table().is_marked(&wanted.body) {
+            return;
+        }
+        self.told().await;
+        tokio::time::sleep(EVIDENCE_PAUSE).await;
+    }
+
     /// Counts the end of an attempt.
     pub fn end(&self, attempt: Attempt, ended: Ended) {
         self.metrics.attempts.add(match ended {
@@ -157,11 +168,11 @@
 
     /// Waits until the other routers know the evidence that this one has now, but not for long on
     /// a router that does not answer.
-    pub async fn told(&self) {
+    async fn told(&self) {
         let breaks = self.breaks();
         let mut told = self.told.subscribe();
         let known = told.wait_for(|told| *told >= breaks);
-        // In either case the request is not run here.
+        // A router that does not answer can't hold the request back for good.
         let _ = tokio::time::timeout(TELL_WITHIN, known).await;
     }
 
--- a/crates/fleet/src/filters/choose.rs
+++ b/crates/fleet/src/filters/choose.rs
@@ -25,6 +25,7 @@
     ///
     /// [`Refusal::NoUpstream`], [`Refusal::Overloaded`] or [`Refusal::Quarantined`].
     pub async fn pick(&self, wanted: &Wanted, ran: Ran) -> Result<Pick, Refusal> {
+        self.upstreams.settle(wanted).await;
         for _ in 0..ROUNDS {
             match self.upstreams.choose(wanted) {
                 Ok(pick) if !pick.ask => return Ok(pick),
@@ -37,8 +38,6 @@
                 Err(Absent::Full) => tokio::time::sleep(FULL_PAUSE).await,
                 Err(Absent::NoneKnown | Absent::NoneUsable) => return Err(Refusal::NoUpstream),
                 Err(Absent::Quarantined { until } | Absent::Suspect { until }) => {
-                    // The caller may resend through another router as soon as it is refused.
-                    self.upstreams.told().await;
                     let after = seconds(until.saturating_sub(self.timer.now()));
                     return Err(Refusal::Quarantined { after, ran });
                 }
