The replica's actor in modules of one job; a full disk stops one replica only

Serving, carrying out and greetings are modules of their own. New cases: a replica whose disk is full stops while the others go on; altered real messages in place of random bytes, of which nearly all failed to decode.

--- a/crates/core/tests/replica_random.rs
+++ b/crates/core/tests/replica_random.rs
@@ -5,8 +5,11 @@
 mod replica_world;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use bolero::check;
 use chestnutnotch_core::id::ReplicaId;
@@ -16,7 +19,6 @@
 use chestnutnotch_core::replica::Message;
 use chestnutnotch_core::replica::Output;
 use chestnutnotch_core::replica::Rules;
-use chestnutnotch_core::unit::Index;
 use rand::Rng;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -333,28 +335,45 @@
     assert!(chunks > 3);
 }
 
-/// Any message from any term is taken without a panic.
+/// Any message from any term is taken without a panic: real ones with some bytes changed.
 #[test]
 fn any_message() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut schedule = Schedule::new(3, Rules::default());
+    let mut samples = BTreeSet::new();
+    for _ in 0..3_000 {
+        schedule.act(&mut rng);
+        let messages = schedule.world.net.iter().map(|packet| &packet.message);
+        samples.extend(messages.filter_map(|message| postcard::to_stdvec(message).ok()));
+    }
+    let samples: Vec<_> = samples.into_iter().collect();
+    let hosts: Vec<_> = schedule.world.hosts.values().cloned().collect();
+    let taken = AtomicUsize::new(0);
     check!()
-        .with_type::<Vec<u8>>()
-        .with_iterations(20_000)
-        .for_each(|bytes| {
-            let Ok(message) = postcard::from_bytes::<Message>(bytes) else {
+        .with_type::<(u16, Vec<(u16, u8)>)>()
+        .with_iterations(50_000)
+        .for_each(|(sample, changes)| {
+            let mut bytes = samples[usize::from(*sample) % samples.len()].clone();
+            for (at, value) in changes.iter().take(3) {
+                let at = usize::from(*at) % bytes.len();
+                bytes[at] = *value;
+            }
+            let Ok(message) = postcard::from_bytes::<Message>(&bytes) else {
                 return;
             };
-            let mut world = World::new(3, Rules::default(), Budget::default());
-            world.elect(0, &[0, 1, 2]);
-            for id in [0, 1] {
-                let mut node = world.hosts[&ReplicaId(id)].node.clone();
+            taken.fetch_add(1, Ordering::Relaxed);
+            for host in &hosts {
+                let mut node = host.node.clone();
+                let committed = node.committed();
                 let mut outputs: Vec<Output> = Vec::new();
-                let input = Input::Receive {
-                    from: ReplicaId(2),
-                    message: message.clone(),
-                };
-                node.step(input, &mut outputs);
+                let message = message.clone();
+                let from = ReplicaId(2);
+                node.step(Input::Receive { from, message }, &mut outputs);
                 node.step(Input::Beat, &mut outputs);
-                assert!(node.committed() >= Index(2) || !node.leads());
+                assert!(node.committed() >= committed);
             }
         });
+    let taken = taken.into_inner();
+    println!("{taken} messages taken, {} samples", samples.len());
+    assert!(taken > 1_000);
 }
--- a/crates/fleet/src/controllers/replica/actor.rs
+++ b/crates/fleet/src/controllers/replica/actor.rs
@@ -8,21 +8,14 @@
 
 use chestnutnotch_core::command::Command;
 use chestnutnotch_core::command::Reply;
-use chestnutnotch_core::command::Stamped;
 use chestnutnotch_core::config::Accepted;
 use chestnutnotch_core::id::Operator;
-use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::machine::Machine;
 use chestnutnotch_core::map::Map;
 use chestnutnotch_core::replica::Founding;
-use chestnutnotch_core::replica::Hello;
 use chestnutnotch_core::replica::Input;
-use chestnutnotch_core::replica::Members;
-use chestnutnotch_core::replica::Message;
-use chestnutnotch_core::replica::Output;
 use chestnutnotch_core::replica::Replica;
 use chestnutnotch_core::replica::Round;
-use chestnutnotch_core::replica::Snapshot;
 use chestnutnotch_core::unit::Index;
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::unit::Term;
@@ -37,31 +30,19 @@
 use super::apply::ApplyError;
 use super::error::ReplicaError;
 use super::handle::ReplicaStatus;
+use super::meet::GREET_MIN_MILLIS;
 use super::writer::Writer;
 use super::writer::Written;
 use crate::edges::disk::DiskError;
 use crate::edges::disk::Folder;
-use crate::edges::rpc::peer::Envelope;
 use crate::edges::rpc::peer::Inbound;
 use crate::edges::rpc::peer::Links;
 use crate::edges::rpc::peer::Switch;
 use crate::timer::Timer;
 
-/// Largest encoded command.
-const COMMAND_BYTES: usize = 16 << 20;
-
-/// Commands proposed together.
-const BATCH_COMMANDS: usize = 1_024;
-
-/// Part of the snapshot period that stays in memory for followers that are a little behind.
-const KEPT_PART: u64 = 4;
-
 /// Longest time that a stopping leader waits for its successor.
 const RESIGN_MILLIS: u64 = 500;
 
-const GREET_MIN_MILLIS: u64 = 50;
-const GREET_MAX_MILLIS: u64 = 2_000;
-
 /// A look at the machine, or why there is none.
 pub type View = Box<dyn FnOnce(Result<&Machine, ReplicaError>) + Send>;
 
@@ -127,41 +108,41 @@
 
 /// State of the actor.
 pub struct ReplicaState {
-    myself: ActorRef<ReplicaMessage>,
-    replica: Replica,
-    writer: Writer,
-    applied: Applied,
-    publish: watch::Sender<Arc<Accepted>>,
-    queue: Vec<(Proposal, OwnedSemaphorePermit)>,
-    proposed: BTreeMap<Index, Proposed>,
-    reads: Map<u64, (View, OwnedSemaphorePermit)>,
-    confirmed: BTreeMap<(Index, u64), View>,
-    number: u64,
-    stamp: Millis,
-    links: Links,
-    founding: Founding,
-    greeting: Greeting,
-    peers: Vec<SocketAddr>,
-    address: SocketAddr,
-    compact: u64,
-    encoding: bool,
-    stopping: Option<Millis>,
-    failed: bool,
-    timer: Timer,
+    pub(super) myself: ActorRef<ReplicaMessage>,
+    pub(super) replica: Replica,
+    pub(super) writer: Writer,
+    pub(super) applied: Applied,
+    pub(super) publish: watch::Sender<Arc<Accepted>>,
+    pub(super) queue: Vec<(Proposal, OwnedSemaphorePermit)>,
+    pub(super) proposed: BTreeMap<Index, Proposed>,
+    pub(super) reads: Map<u64, (View, OwnedSemaphorePermit)>,
+    pub(super) confirmed: BTreeMap<(Index, u64), View>,
+    pub(super) number: u64,
+    pub(super) stamp: Millis,
+    pub(super) links: Links,
+    pub(super) founding: Founding,
+    pub(super) greeting: Greeting,
+    pub(super) peers: Vec<SocketAddr>,
+    pub(super) address: SocketAddr,
+    pub(super) compact: u64,
+    pub(super) encoding: bool,
+    pub(super) stopping: Option<Millis>,
+    pub(super) failed: bool,
+    pub(super) timer: Timer,
 }
 
 /// A command in the log whose outcome somebody waits for.
-struct Proposed {
-    term: Term,
-    reply: oneshot::Sender<Result<Reply, ReplicaError>>,
-    _permit: OwnedSemaphorePermit,
+pub(super) struct Proposed {
+    pub(super) term: Term,
+    pub(super) reply: oneshot::Sender<Result<Reply, ReplicaError>>,
+    pub(super) _permit: OwnedSemaphorePermit,
 }
 
 /// Rounds of greetings.
-struct Greeting {
-    running: bool,
-    next: Millis,
-    pause: u64,
+pub(super) struct Greeting {
+    pub(super) running: bool,
+    pub(super) next: Millis,
+    pub(super) pause: u64,
 }
 
 impl Actor for ReplicaActor {
@@ -251,58 +232,6 @@
         self.finish();
     }
 
-    fn submit(&mut self, proposal: Proposal, permit: OwnedSemaphorePermit) {
-        match self.refusal() {
-            Some(error) => {
-                let _ = proposal.reply.send(Err(error));
-            }
-            None => self.queue.push((proposal, permit)),
-        }
-    }
-
-    fn read(&mut self, view: View, permit: OwnedSemaphorePermit) {
-        if let Some(error) = self.refusal() {
-            return view(Err(error));
-        }
-        self.number += 1;
-        self.reads.insert(self.number, (view, permit));
-        self.step(Input::Read(self.number));
-    }
-
-    /// Why this replica takes no commands and confirmed reads; none if it does.
-    fn refusal(&self) -> Option<ReplicaError> {
-        if self.stopping.is_some() {
-            return Some(ReplicaError::Stopped);
-        }
-        let leads = self.replica.node().leads();
-        (!leads).then(|| ReplicaError::NotLeader {
-            leader: self.leader(),
-        })
-    }
-
-    fn leader(&self) -> Option<SocketAddr> {
-        let node = self.replica.node();
-        let leader = node.leader()?;
-        let member = node.members().0.get(&leader);
-        member
-            .map(|member| member.address)
-            .or_else(|| self.founding.address(leader))
-    }
-
-    fn status(&self) -> ReplicaStatus {
-        let node = self.replica.node();
-        let members = node.log().members_at(node.committed());
-        ReplicaStatus {
-            id: node.id(),
-            term: node.term(),
-            leads: node.leads(),
-            leader: self.leader(),
-            applied: self.applied.index,
-            voters: members.voters().collect(),
-            learners: members.learners().collect(),
-        }
-    }
-
     fn receive(&mut self, inbound: Inbound) {
         match inbound {
             Inbound::Frames(envelopes) => {
@@ -327,15 +256,6 @@
         }
     }
 
-    fn hello(&self) -> Hello {
-        Hello {
-            id: self.replica.node().id(),
-            blank: self.replica.node().blank(),
-            joins: self.replica.node().outside(),
-            address: self.address,
-        }
-    }
-
     fn tick(&mut self) {
         let led = self.replica.node().leads();
         let mut outputs = Vec::new();
@@ -344,289 +264,6 @@
         self.greet();
     }
 
-    fn step(&mut self, input: Input) {
-        let led = self.replica.node().leads();
-        let mut outputs = Vec::new();
-        self.replica.step(self.timer.now(), input, &mut outputs);
-        self.carry_out(led, outputs);
-    }
-
-    fn carry_out(&mut self, led: bool, outputs: Vec<Output>) {
-        for output in outputs {
-            match output {
-                Output::Save(save) => self.writer.save(save),
-                Output::Send {
-                    to,
-                    message,
-                    synced: false,
-                } => self.send(to, message),
-                Output::Send { to, message, .. } => {
-                    if let Some((to, message)) = self.writer.hold(to, message) {
-                        self.send(to, message);
-                    }
-                }
-                Output::Commit(index) => self.apply_to(index),
-                Output::Restore(snapshot) => self.restore(&snapshot),
-                Output::Confirmed { read, index } => {
-                    if let Some((view, _)) = self.reads.remove(&read) {
-                        self.confirmed.insert((index, read), view);
-                    }
-                }
-                Output::Dropped { read } => {
-                    if let Some((view, _)) = self.reads.remove(&read) {
-                        view(Err(ReplicaError::NoQuorum));
-                    }
-                }
-                Output::Rest => {}
-            }
-        }
-        self.answer_reads();
-        let leads = self.replica.node().leads();
-        if led && !leads {
-            self.drop_proposed();
-        }
-        if led != leads {
-            let node = self.replica.node();
-            let change = if leads { "leads" } else { "no longer leads" };
-            log::info!("replica {} {change} in term {}", node.id(), node.term());
-        }
-    }
-
-    fn send(&mut self, to: ReplicaId, message: Message) {
-        let from = self.replica.node().id();
-        if to == from {
-            return self.step(Input::Receive { from, message });
-        }
-        let Some(address) = self.address_of(to) else {
-            return;
-        };
-        let envelope = Envelope { from, to, message };
-        if let Ok(frame) = envelope.encode() {
-            self.links.send(address, frame);
-        }
-    }
-
-    /// Where a replica is reached: where it answered a greeting, or else the address it gave, if the
-    /// settings have it.
-    fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
-        let member = self.replica.node().members().0.get(&id);
-        let given = member.map(|member| member.address);
-        self.founding
-            .address(id)
-            .or_else(|| given.filter(|address| self.peers.contains(address)))
-    }
-
-    fn apply_to(&mut self, index: Index) {
-        while self.applied.index < index {
-            let next = self.applied.index.next();
-            let Some(entry) = self.replica.node().log().get(next) else {
-                return;
-            };
-            let term = entry.at.term;
-            let reply = match self.applied.apply(entry) {
-                Ok(reply) => reply,
-                Err(error) => return self.fail(&error),
-            };
-            if let Some(proposed) = self.proposed.remove(&next) {
-                let result = match reply {
-                    Some(reply) if proposed.term == term => Ok(reply),
-                    _ => Err(ReplicaError::NoQuorum),
-                };
-                let _ = proposed.reply.send(result);
-            }
-        }
-        self.announce();
-    }
-
-    fn restore(&mut self, snapshot: &Snapshot) {
-        match Applied::restore(snapshot) {
-            Ok(applied) => self.applied = applied,
-            Err(error) => return self.fail(&error),
-        }
-        self.announce();
-    }
-
-    fn announce(&mut self) {
-        let accepted = self.applied.machine.accepted();
-        self.publish.send_if_modified(|published| {
-            let newer = accepted.revision > published.revision;
-            if newer {
-                *published = Arc::new(accepted.clone());
-            }
-            newer
-        });
-    }
-
-    fn answer_reads(&mut self) {
-        while let Some(entry) = self.confirmed.first_entry() {
-            if entry.key().0 > self.applied.index {
-                return;
-            }
-            let view = entry.remove();
-            view(Ok(&self.applied.machine));
-        }
-    }
-
-    fn drop_proposed(&mut self) {
-        for (_, proposed) in std::mem::take(&mut self.proposed) {
-            let _ = proposed.reply.send(Err(ReplicaError::NoQuorum));
-        }
-        let leader = self.leader();
-        for (proposal, _) in std::mem::take(&mut self.queue) {
-            let _ = proposal.reply.send(Err(ReplicaError::NotLeader { leader }));
-        }
-    }
-
-    /// Proposes what has gathered while the last batch was written.
-    fn propose(&mut self) {
-        if self.queue.is_empty() || self.writer.busy() || !self.replica.node().leads() {
-            return;
-        }
-        let count = self.queue.len().min(BATCH_COMMANDS);
-        let batch: Vec<_> = self.queue.drain(..count).collect();
-        let mut commands = Vec::with_capacity(batch.len());
-        let term = self.replica.node().term();
-        let mut index = self.replica.node().log().last().index;
-        for (proposal, permit) in batch {
-            match self.encode(proposal.operator, proposal.command) {
-                Ok(bytes) => {
-                    index = index.next();
-                    let proposed = Proposed {
-                        term,
-                        reply: proposal.reply,
-                        _permit: permit,
-                    };
-                    self.proposed.insert(index, proposed);
-                    commands.push(bytes);
-                }
-                Err(error) => {
-                    let _ = proposal.reply.send(Err(error));
-                }
-            }
-        }
-        self.step(Input::Propose(commands));
-    }
-
-    fn encode(&mut self, operator: Operator, command: Command) -> Result<Arc<[u8]>, ReplicaError> {
-        self.stamp = self.stamp.max(self.applied.stamp).max(self.timer.unix());
-        let stamped = Stamped {
-            at: self.stamp,
-            operator,
-            command,
-        };
-        match postcard::to_stdvec(&stamped) {
-            Ok(bytes) if bytes.len() <= COMMAND_BYTES => Ok(bytes.into()),
-            Ok(bytes) => Err(ReplicaError::Oversized(bytes.len())),
-            Err(_) => Err(ReplicaError::Oversized(usize::MAX)),
-        }
-    }
-
-    fn write(&mut self) {
-        let Some(write) = self.writer.start() else {
-            return;
-        };
-        let myself = self.myself.clone();
-        tokio::task::spawn_blocking(move || {
-            let _ = myself.send_message(ReplicaMessage::Wrote(write()));
-        });
-    }
-
-    fn wrote(&mut self, result: Result<Written, DiskError>) {
-        let finished = match result {
-            Ok(written) => self.writer.finish(written),
-            Err(error) => return self.fail(&error),
-        };
-        for (to, message) in finished.released {
-            self.send(to, message);
-        }
-        if let Some(last) = finished.last {
-            self.step(Input::Synced(last));
-        }
-    }
-
-    /// Encodes a snapshot when enough entries were applied since the last one.
-    fn snapshot(&mut self) {
-        let last = self.replica.node().log().snapshot().at.index;
-        let index = self.applied.index;
-        if self.encoding || index.saturating_sub(last).0 < self.compact {
-            return;
-        }
-        self.encoding = true;
-        let applied = self.applied.clone();
-        let myself = self.myself.clone();
-        tokio::task::spawn_blocking(move || {
-            let _ = myself.send_message(ReplicaMessage::Encoded(index, applied.encode()));
-        });
-    }
-
-    fn encoded(&mut self, index: Index, result: Result<Arc<[u8]>, ApplyError>) {
-        self.encoding = false;
-        match result {
-            Ok(data) => self.step(Input::Compact {
-                index,
-                data,
-                keep: self.compact / KEPT_PART,
-            }),
-            Err(error) => self.fail(&error),
-        }
-    }
-
-    /// A group of one is founded at once.
-    fn found_alone(&mut self) {
-        let own = self.replica.node().id();
-        if self.peers.len() <= 1 && self.replica.node().blank() {
-            self.step(Input::Found(Members::founders([(own, self.address)])));
-        }
-    }
-
-    /// Greets the peers while this replica is outside the group, or cannot reach a member.
-    fn greet(&mut self) {
-        let node = self.replica.node();
-        let own = node.id();
-        let lost = |id: &ReplicaId| *id != own && self.address_of(*id).is_none();
-        let needed = node.outside() || node.members().0.keys().any(lost);
-        let now = self.timer.now();
-        if !needed || self.greeting.running || now < self.greeting.next {
-            return;
-        }
-        self.greeting.running = true;
-        let hello = self.hello();
-        let calls: Vec<_> = self
-            .peers
-            .iter()
-            .map(|peer| (*peer, self.links.greet(*peer, hello)))
-            .collect();
-        let myself = self.myself.clone();
-        tokio::spawn(async move {
-            let calls = calls
-                .into_iter()
-                .map(async |(peer, call)| (peer, call.await));
-            let round = futures_util::future::join_all(calls).await;
-            let _ = myself.send_message(ReplicaMessage::Greeted(round));
-        });
-    }
-
-    fn greeted(&mut self, round: &Round) {
-        let own = self.replica.node().id();
-        let members = self.founding.observe(own, round);
-        let complete = round.iter().all(|(_, hello)| hello.is_some());
-        self.greeting.running = false;
-        self.greeting.pause = if complete {
-            GREET_MIN_MILLIS
-        } else {
-            (self.greeting.pause * 2).min(GREET_MAX_MILLIS)
-        };
-        let pause = std::time::Duration::from_millis(self.greeting.pause);
-        let jitter = crate::timer::jitter(pause, &mut rand::rng()).as_millis() as u64;
-        self.greeting.next = self.timer.now() + Millis(self.greeting.pause / 2 + jitter);
-        if let Some(members) = members
-            && self.replica.node().blank()
-        {
-            log::info!("replica {own} founds a group of {}", members.0.len());
-            self.step(Input::Found(members));
-        }
-    }
-
     fn stop(&mut self) {
         if self.stopping.is_none() {
             self.stopping = Some(self.timer.now() + Millis(RESIGN_MILLIS));
@@ -647,13 +284,4 @@
             self.myself.stop(None);
         }
     }
-
-    /// Stops serving for good: what the disk holds is no longer known, or cannot be read.
-    fn fail(&mut self, error: &dyn std::error::Error) {
-        if !self.failed {
-            log::error!("replica {} stops: {error}", self.replica.node().id());
-            self.failed = true;
-            self.myself.stop(None);
-        }
-    }
 }
--- a/crates/fleet/src/controllers/replica/mod.rs
+++ b/crates/fleet/src/controllers/replica/mod.rs
@@ -2,8 +2,11 @@
 
 mod actor;
 mod apply;
+mod carry;
 mod error;
 mod handle;
+mod meet;
+mod serve;
 mod start;
 mod writer;
 
--- a/crates/fleet/tests/replica_group.rs
+++ b/crates/fleet/tests/replica_group.rs
@@ -33,6 +33,7 @@
     two_emptied_disks_wait_for_the_third: two_emptied_disks();
     planned_stop_hands_over: planned_stop();
     relays_may_stand_between: relayed();
+    full_disk_stops_one_replica: full_disk();
 }
 
 async fn agree(count: usize) {
@@ -233,3 +234,23 @@
     }
     assert!(group.carried() > 0);
 }
+
+/// A replica whose disk is full stops serving; the others go on.
+async fn full_disk() {
+    let group = Group::start(3, 20).await;
+    let all = group.running();
+    let leader = group.leader(&all).await;
+    let full = (leader + 1) % 3;
+    std::os::unix::fs::symlink("/dev/full", group.data(full).join("snapshot.new")).unwrap();
+    let rest: Vec<_> = all.iter().copied().filter(|at| *at != full).collect();
+    for number in 0..40 {
+        group.submit(&rest, &publish(number)).await;
+    }
+    group.handle(full).stopped().await;
+    let status = group.handle(full).status().await;
+    assert!(matches!(status, Err(ReplicaError::Stopped)));
+    assert_eq!(
+        group.submit(&rest, &publish(40)).await,
+        Reply::Accepted(Revision(41))
+    );
+}
