--- a/crates/fleet/src/edges/disk/folder.rs
+++ b/crates/fleet/src/edges/disk/folder.rs
@@ -191,35 +191,8 @@
     ) -> Result<(Self, Durable), DiskError> {
         let snapshot = load_snapshot(path)?;
         let mut history = History::default();
-        let mut closed = Vec::new();
         drop_unbegun(path, &mut numbers)?;
-        let mut current = None;
-        while let Some(number) = (!numbers.is_empty()).then(|| numbers.remove(0)) {
-            let name = path.join(segment::name(number));
-            let last = numbers.is_empty();
-            let segment = load_segment(&name)?;
-            check_segment(&name, &segment, id, number, last)?;
-            if numbers.first().is_some_and(|next| *next != number + 1) {
-                return Err(DiskError::Missing {
-                    path: path.join(segment::name(number + 1)),
-                });
-            }
-            let end = segment.end;
-            let highest = history.replay(&name, segment)?;
-            if last {
-                current = Some(Current::resume(name, number, highest, end)?);
-            } else {
-                closed.push(Closed {
-                    number,
-                    last: highest,
-                });
-            }
-        }
-        let Some(current) = current else {
-            return Err(DiskError::Missing {
-                path: path.join(segment::name(1)),
-            });
-        };
+        let (closed, current) = replay(path, id, &numbers, &mut history)?;
         history.check(path, snapshot.as_ref())?;
         let folder = Self {
             path: path.to_path_buf(),
@@ -343,6 +316,38 @@
     Ok(Some(snapshot))
 }
 
+/// Reads all segments in order; opens the last one for writing.
+fn replay(
+    folder: &Path,
+    id: ReplicaId,
+    numbers: &[u64],
+    history: &mut History,
+) -> Result<(Vec<Closed>, Current), DiskError> {
+    let missing = |number| DiskError::Missing {
+        path: folder.join(segment::name(number)),
+    };
+    let (newest, older) = numbers.split_last().ok_or_else(|| missing(1))?;
+    let mut closed = Vec::with_capacity(older.len());
+    for (number, next) in older.iter().zip(&numbers[1..]) {
+        let path = folder.join(segment::name(*number));
+        let segment = load_segment(&path)?;
+        check_segment(&path, &segment, id, *number, false)?;
+        if *next != number + 1 {
+            return Err(missing(number + 1));
+        }
+        closed.push(Closed {
+            number: *number,
+            last: history.replay(&path, segment)?,
+        });
+    }
+    let path = folder.join(segment::name(*newest));
+    let segment = load_segment(&path)?;
+    check_segment(&path, &segment, id, *newest, true)?;
+    let end = segment.end;
+    let last = history.replay(&path, segment)?;
+    Ok((closed, Current::resume(path, *newest, last, end)?))
+}
+
 fn load_segment(path: &Path) -> Result<Segment, DiskError> {
     let bytes = file::read(path)?.ok_or_else(|| DiskError::Missing {
         path: path.to_path_buf(),
