--- a/crates/core/src/ledger/mod.rs
+++ b/crates/core/src/ledger/mod.rs
@@ -6,6 +6,7 @@
 mod account;
 mod bills;
 mod book;
+mod closing;
 mod policy;
 mod purse;
 mod row;
