--- a/crates/fleet/src/controllers/replica/actor.rs
+++ b/crates/fleet/src/controllers/replica/actor.rs
@@ -14,11 +14,14 @@
 use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::machine::Machine;
 use chestnutnotch_core::map::Map;
+use chestnutnotch_core::replica::Founding;
+use chestnutnotch_core::replica::Hello;
 use chestnutnotch_core::replica::Input;
 use chestnutnotch_core::replica::Members;
 use chestnutnotch_core::replica::Message;
 use chestnutnotch_core::replica::Output;
 use chestnutnotch_core::replica::Replica;
+use chestnutnotch_core::replica::Round;
 use chestnutnotch_core::replica::Snapshot;
 use chestnutnotch_core::unit::Index;
 use chestnutnotch_core::unit::Millis;
@@ -33,15 +36,12 @@
 use super::apply::Applied;
 use super::apply::ApplyError;
 use super::error::ReplicaError;
-use super::founding::Founding;
-use super::founding::Round;
 use super::handle::ReplicaStatus;
 use super::writer::Writer;
 use super::writer::Written;
 use crate::edges::disk::DiskError;
 use crate::edges::disk::Folder;
 use crate::edges::rpc::peer::Envelope;
-use crate::edges::rpc::peer::Hello;
 use crate::edges::rpc::peer::Inbound;
 use crate::edges::rpc::peer::Links;
 use crate::edges::rpc::peer::Switch;
@@ -291,14 +291,15 @@
 
     fn status(&self) -> ReplicaStatus {
         let node = self.replica.node();
+        let members = node.log().members_at(node.committed());
         ReplicaStatus {
             id: node.id(),
             term: node.term(),
             leads: node.leads(),
             leader: self.leader(),
             applied: self.applied.index,
-            voters: node.members().voters().collect(),
-            learners: node.members().learners().collect(),
+            voters: members.voters().collect(),
+            learners: members.learners().collect(),
         }
     }
 
