--- a/crates/core/examples/budget_policy.rs
+++ b/crates/core/examples/budget_policy/world.rs
@@ -1,9 +1,4 @@
-//! Compares ways to spend prepaid budgets from many routers, over the pure cores in simulated time.
-//!
-//! Three ways: allotments that follow demand (the ledger and the purses), an even split among the
-//! routers, and a check at the control quorum for each request. Prints a table in Markdown.
-//!
-//! `cargo run --release -p chestnutnotch-core --example budget_policy`
+//! Routers, requests and the ledger in simulated time.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -41,7 +36,7 @@
 const SEED: u64 = 20_261_204;
 const TICK_MICROS: u64 = 500;
 const LOAD_SECONDS: u64 = 1_200;
-const IDLE_SECONDS: u64 = 120;
+pub const IDLE_SECONDS: u64 = 120;
 const CUT_SECONDS: std::ops::Range<u64> = 300..900;
 const TOP_UP_SECOND: u64 = 600;
 const DEADLINE_MILLIS: u64 = 2_000;
@@ -52,15 +47,15 @@
 const MANY: u64 = 50 * MOST_TOKENS;
 
 #[derive(Clone, Copy)]
-struct Deployment {
-    name: &'static str,
-    routers: usize,
-    centres: usize,
+pub struct Deployment {
+    pub name: &'static str,
+    pub routers: usize,
+    pub centres: usize,
     /// Between data centres, one way.
-    way_micros: u64,
+    pub way_micros: u64,
 }
 
-const DEPLOYMENTS: [Deployment; 2] = [
+pub const DEPLOYMENTS: [Deployment; 2] = [
     Deployment {
         name: "Kar Yolu",
         routers: 12,
@@ -76,7 +71,7 @@
 ];
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Way {
+pub enum Way {
     Adaptive,
     Even,
     Central,
@@ -101,20 +96,20 @@
 }
 
 #[derive(Default)]
-struct Tally {
-    requests: u64,
-    refused: u64,
+pub struct Tally {
+    pub requests: u64,
+    pub refused: u64,
     /// Refused while the budget as a whole could pay.
-    untrue: u64,
+    pub untrue: u64,
     /// The same while it could pay for many worst cases.
-    untrue_many: u64,
+    pub untrue_many: u64,
     /// The same, of budgets that do not run out.
-    untrue_ample: u64,
-    over: u64,
-    waits: Vec<u64>,
-    messages: u64,
-    bytes: u64,
-    idle_bytes: u64,
+    pub untrue_ample: u64,
+    pub over: u64,
+    pub waits: Vec<u64>,
+    pub messages: u64,
+    pub bytes: u64,
+    pub idle_bytes: u64,
 }
 
 /// What is true of a budget, known to nobody.
@@ -131,7 +126,7 @@
     }
 }
 
-struct World {
+pub struct World {
     deployment: Deployment,
     way: Way,
     has_cut: bool,
@@ -174,7 +169,7 @@
 }
 
 impl World {
-    fn new(deployment: Deployment, way: Way, has_cut: bool) -> Self {
+    pub fn new(deployment: Deployment, way: Way, has_cut: bool) -> Self {
         let mut world = Self {
             deployment,
             way,
@@ -261,7 +256,7 @@
             .insert((self.now + delay, Reverse(self.count)), event);
     }
 
-    fn run(mut self) -> Tally {
+    pub fn run(mut self) -> Tally {
         let load = LOAD_SECONDS * 1_000_000;
         let end = load + IDLE_SECONDS * 1_000_000;
         let each = REQUESTS_PER_SECOND * TICK_MICROS as f64 / 1e6;
@@ -492,48 +487,3 @@
         self.tally.bytes += bytes;
     }
 }
-
-fn print(deployment: Deployment, way: Way, has_cut: bool) {
-    let mut tally = World::new(deployment, way, has_cut).run();
-    tally.waits.sort_unstable();
-    let millis = |part: f64| {
-        let at = (tally.waits.len() as f64 * part) as usize;
-        tally
-            .waits
-            .get(at)
-            .map_or(0.0, |micros| *micros as f64 / 1e3)
-    };
-    let requests = tally.requests as f64;
-    let share = |count: u64| 100.0 * count as f64 / requests;
-    println!(
-        "| {} | {} | {way:?} | {} | {} | {} | {:.3}% | {:.3}% | {:.3}% | {:.1} | {:.1} | {:.2} | {:.0} | {:.1} |",
-        deployment.name,
-        if has_cut { "cut" } else { "steady" },
-        tally.requests,
-        tally.over,
-        tally.refused,
-        share(tally.untrue),
-        share(tally.untrue_many),
-        share(tally.untrue_ample),
-        millis(0.5),
-        millis(0.99),
-        tally.messages as f64 / requests,
-        tally.bytes as f64 / requests,
-        tally.idle_bytes as f64 / (IDLE_SECONDS * deployment.routers as u64) as f64,
-    );
-}
-
-fn main() {
-    println!(
-        "| deployment | run | way | requests | overspend | refused | false | false, 50 left | false, 50 left, ample budgets | \
-         wait p50 ms | wait p99 ms | messages/request | bytes/request | bytes/idle router second |"
-    );
-    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
-    for deployment in DEPLOYMENTS {
-        for has_cut in [false, true] {
-            for way in [Way::Adaptive, Way::Even, Way::Central] {
-                print(deployment, way, has_cut);
-            }
-        }
-    }
-}
