--- a/crates/core/examples/choice_policy/fleet.rs
+++ b/crates/core/examples/choice_policy/fleet.rs
@@ -10,7 +10,6 @@
 use chestnutnotch_core::id::Workspace;
 use chestnutnotch_core::limit::Arrival;
 use chestnutnotch_core::limit::Gate;
-use chestnutnotch_core::limit::GateRules;
 use chestnutnotch_core::limit::Release;
 use chestnutnotch_core::limit::RetryBudget;
 use chestnutnotch_core::limit::Verdict;
@@ -26,7 +25,6 @@
 use chestnutnotch_core::upstream::Offer;
 use chestnutnotch_core::upstream::Phase;
 use chestnutnotch_core::upstream::Pick;
-use chestnutnotch_core::upstream::Rules;
 use chestnutnotch_core::upstream::Table;
 use chestnutnotch_core::upstream::Usage;
 use chestnutnotch_core::upstream::Wanted;
@@ -37,57 +35,13 @@
 
 use crate::engine::Engine;
 use crate::engine::SLOTS;
+use crate::plan::Fate;
+use crate::plan::Outcome;
+use crate::plan::Policy;
+use crate::plan::Site;
+use crate::plan::Trouble;
 use crate::work::Request;
 
-/// Sizes of one deployment.
-#[derive(Clone, Copy)]
-pub struct Site {
-    pub name: &'static str,
-    pub centres: usize,
-    pub routers: usize,
-    pub engines: usize,
-    pub desks: usize,
-    pub way_micros: u64,
-}
-
-/// How the routers decide.
-#[derive(Clone, Copy)]
-pub struct Policy {
-    pub name: &'static str,
-    pub rules: Rules,
-    pub gate: GateRules,
-    pub round_robin: bool,
-}
-
-/// What befalls the fleet.
-#[derive(Clone, Copy, Default)]
-pub struct Trouble {
-    /// All engines are four times slower in this span.
-    pub slow: Option<(u64, u64)>,
-    /// The first engine leaves at this time, and half of the routers hear no announcement any more.
-    pub leave: Option<u64>,
-}
-
-/// What became of a request.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Fate {
-    #[default]
-    Open,
-    Whole,
-    Shed,
-    Refused,
-    Missed,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Outcome {
-    pub fate: Fate,
-    pub first: Option<u64>,
-    pub end: u64,
-    pub cached: u64,
-    pub attempts: u32,
-}
-
 enum Event {
     Arrive(usize),
     Deadline(usize),
--- a/crates/core/examples/choice_policy/main.rs
+++ b/crates/core/examples/choice_policy/main.rs
@@ -6,20 +6,20 @@
 
 mod engine;
 mod fleet;
+mod plan;
 mod sizes;
 mod work;
 
-use chestnutnotch_core::limit::GateRules;
-use chestnutnotch_core::upstream::Rules;
-
-use fleet::Fate;
 use fleet::Fleet;
-use fleet::Outcome;
 use fleet::PATIENCE_MICROS;
-use fleet::Policy;
-use fleet::Site;
-use fleet::Trouble;
-use work::Load;
+use plan::Fate;
+use plan::Outcome;
+use plan::Policy;
+use plan::SITES;
+use plan::Site;
+use plan::Trouble;
+use plan::policies;
+use plan::scenarios;
 use work::Request;
 
 const SEED: u64 = 20_261_203;
@@ -27,166 +27,6 @@
 const START_MICROS: u64 = 3_000_000;
 const SAMPLED_SHEDS: usize = 40;
 
-const SITES: [Site; 2] = [
-    Site {
-        name: "Kar Yolu",
-        centres: 4,
-        routers: 12,
-        engines: 12,
-        desks: 4,
-        way_micros: 500,
-    },
-    Site {
-        name: "Verband",
-        centres: 3,
-        routers: 10,
-        engines: 12,
-        desks: 3,
-        way_micros: 1_500,
-    },
-];
-
-/// A load with what befalls the fleet under it.
-struct Scenario {
-    name: &'static str,
-    load: Load,
-    trouble: Trouble,
-    /// Calls of the plain desk or booking service in place of chats.
-    desk: bool,
-}
-
-fn policies() -> Vec<Policy> {
-    let rules = Rules::default();
-    let gate = GateRules::default();
-    let ours = Policy {
-        name: "ours",
-        rules,
-        gate,
-        round_robin: false,
-    };
-    vec![
-        ours,
-        Policy {
-            name: "round robin",
-            rules: Rules {
-                affinity: 0,
-                ..rules
-            },
-            round_robin: true,
-            ..ours
-        },
-        Policy {
-            name: "least reported load",
-            rules: Rules {
-                own: false,
-                sample: usize::MAX,
-                affinity: 0,
-                ..rules
-            },
-            ..ours
-        },
-        Policy {
-            name: "no prefix weight",
-            rules: Rules {
-                affinity: 0,
-                ..rules
-            },
-            ..ours
-        },
-        Policy {
-            name: "no fair share",
-            gate: GateRules {
-                fair: false,
-                ..gate
-            },
-            ..ours
-        },
-        Policy {
-            name: "no foresight",
-            gate: GateRules {
-                foresight: false,
-                ..gate
-            },
-            ..ours
-        },
-        Policy {
-            name: "best of all",
-            rules: Rules {
-                sample: usize::MAX,
-                ..rules
-            },
-            ..ours
-        },
-        Policy {
-            name: "weight 250",
-            rules: Rules {
-                affinity: 250,
-                ..rules
-            },
-            ..ours
-        },
-        Policy {
-            name: "weight 1000",
-            rules: Rules {
-                affinity: 1_000,
-                ..rules
-            },
-            ..ours
-        },
-        Policy {
-            name: "no distance",
-            rules: Rules { remote: 0, ..rules },
-            ..ours
-        },
-    ]
-}
-
-fn scenarios() -> Vec<Scenario> {
-    let span = 180_000_000;
-    let mut flood = Load::ordinary(24.0, span);
-    flood.rates[work::LARGE] = 50.0;
-    let mut desk = Load::ordinary(60.0, span);
-    desk.desk = true;
-    vec![
-        Scenario {
-            name: "desk or booking calls, 60 a second",
-            load: desk,
-            trouble: Trouble::default(),
-            desk: true,
-        },
-        Scenario {
-            name: "steady, 32 requests/s",
-            load: Load::ordinary(32.0, span),
-            trouble: Trouble::default(),
-            desk: false,
-        },
-        Scenario {
-            name: "flood: the largest workspace at 50 requests/s",
-            load: flood,
-            trouble: Trouble::default(),
-            desk: false,
-        },
-        Scenario {
-            name: "all engines four times slower from 60 s to 120 s, 24 requests/s",
-            load: Load::ordinary(24.0, span),
-            trouble: Trouble {
-                slow: Some((60_000_000, 120_000_000)),
-                leave: None,
-            },
-            desk: false,
-        },
-        Scenario {
-            name: "an engine leaves at 60 s, half of the routers hear nothing from then on, 24 requests/s",
-            load: Load::ordinary(24.0, span),
-            trouble: Trouble {
-                slow: None,
-                leave: Some(60_000_000),
-            },
-            desk: false,
-        },
-    ]
-}
-
 fn main() {
     let only = std::env::args().nth(1).unwrap_or_default();
     let alone = std::env::args().nth(2).unwrap_or_default();
