--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod announce;
 pub mod breaker;
+mod candidate;
 mod choice;
 mod pool;
 pub mod prefix;
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -16,6 +16,7 @@
 use super::announce::Announcement;
 use super::announce::Kind;
 use super::announce::Phase;
+use super::candidate::usable;
 use super::choice::View;
 use super::pool;
 use super::quarantine::Crash;
@@ -27,7 +28,6 @@
 use super::status::Pool;
 use super::status::Probe;
 use super::status::RowStatus;
-use super::status::Usage;
 
 /// Number of one attempt at one router.
 pub type Attempt = u64;
@@ -472,73 +472,3 @@
         self.rows.values().map(|row| &row.said)
     }
 }
-
-/// Rows that may take the request now, and whether they have to be asked first.
-fn usable<'a>(
-    rows: &'a Map<Upstream, Row>,
-    view: &View<'_>,
-) -> Result<(Vec<&'a Row>, bool), Absent> {
-    let mut sorted = Sorted::default();
-    for row in rows.values().filter(|row| row.offers(&view.wanted.kind)) {
-        sorted.add(row, view);
-    }
-    sorted.cap(view.rules);
-    sorted.best()
-}
-
-/// Rows of one kind by their usage.
-#[derive(Default)]
-struct Sorted<'a> {
-    fresh: Vec<&'a Row>,
-    stale: Vec<&'a Row>,
-    ejected: Vec<(Millis, &'a Row)>,
-    known: usize,
-    full: bool,
-}
-
-impl<'a> Sorted<'a> {
-    fn add(&mut self, row: &'a Row, view: &View<'_>) {
-        self.known += 1;
-        if view.wanted.avoid.contains(&row.said.upstream) {
-            return;
-        }
-        let full = row.full(view.now, view.rules, view.routers);
-        match row.usage(view.now, view.rules, view.routers) {
-            Usage::Leaving | Usage::Silent => {}
-            Usage::Full => self.full = true,
-            _ if full => self.full = true,
-            Usage::Used => self.fresh.push(row),
-            Usage::Stale => self.stale.push(row),
-            Usage::Ejected { until } => self.ejected.push((until, row)),
-        }
-    }
-
-    /// Ejected rows above the cap count as stale: a router whose every upstream fails is likely cut
-    /// off itself, and asking tells.
-    fn cap(&mut self, rules: &Rules) {
-        let most = self.known * rules.ejected as usize / 1_000;
-        self.ejected
-            .sort_by_key(|(until, row)| (*until, row.change));
-        while self.ejected.len() > most {
-            let (_, row) = self.ejected.remove(0);
-            self.stale.push(row);
-        }
-    }
-
-    /// Fresh rows come first; without one, stale rows are asked.
-    fn best(self) -> Result<(Vec<&'a Row>, bool), Absent> {
-        if self.known == 0 {
-            return Err(Absent::NoneKnown);
-        }
-        if !self.fresh.is_empty() {
-            return Ok((self.fresh, false));
-        }
-        if !self.stale.is_empty() {
-            return Ok((self.stale, true));
-        }
-        match self.full {
-            true => Err(Absent::Full),
-            false => Err(Absent::NoneUsable),
-        }
-    }
-}
