A resent call is never told 'not run' of one that ran

Cause: the register of claims was asked after admission and the choice of a worker, so a resend whose first submission had run was told no_upstream and 'not run' when no worker was left, though the register held its answer. The same false word came without a quorum, and from a router that starts or stops. Now the register goes first; where it can't be asked, a call with a key of its caller's is 'unknown'. Both tests were seen failing first: recorded_answer_is_given_without_a_worker (503 not_run in place of the recorded 200) and without_a_quorum_a_reservation_is_not_run, whose expectation was wrong for a key of the caller's and now has both cases.

--- a/crates/fleet/src/controllers/allotment.rs
+++ b/crates/fleet/src/controllers/allotment.rs
@@ -32,6 +32,7 @@
 use crate::controllers::lifecycle::Stage;
 use crate::controllers::ticks;
 use crate::edges::rpc::ControlClient;
+use crate::filters::refusal::Ran;
 use crate::filters::refusal::Refusal;
 use crate::metrics::Metrics;
 use crate::timer::Timer;
@@ -156,7 +157,7 @@
         if rounds.borrow().answered {
             return Err(Refusal::AllotmentShort);
         }
-        Err(Refusal::NoQuorum)
+        Err(Refusal::NoQuorum(Ran::NotRun))
     }
 
     /// See [`Purse::settle`].
--- a/crates/fleet/src/filters/call.rs
+++ b/crates/fleet/src/filters/call.rs
@@ -180,8 +180,23 @@
     Ok(checked)
 }
 
+/// Whether a request may have run under an earlier submission, as far as can be told without asking
+/// the register of claims.
+pub fn earlier<B>(request: &Request<B>) -> Ran {
+    let claimed = request.uri().path().starts_with(PREFIX) && !is_safe(request.method());
+    if claimed && request.headers().contains_key(KEY_HEADER) {
+        Ran::Unknown
+    } else {
+        Ran::NotRun
+    }
+}
+
+fn is_safe(method: &Method) -> bool {
+    matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
+}
+
 fn is_repeatable(call: &Checked) -> bool {
-    if matches!(call.method, Method::GET | Method::HEAD | Method::OPTIONS) {
+    if is_safe(&call.method) {
         return true;
     }
     let path = call.path.split('?').next().unwrap_or_default();
--- a/crates/fleet/src/filters/claim.rs
+++ b/crates/fleet/src/filters/claim.rs
@@ -13,7 +13,6 @@
 use chestnutnotch_core::command::Conclude;
 use chestnutnotch_core::command::Recorded;
 use chestnutnotch_core::command::Reply;
-use chestnutnotch_core::upstream::Ended;
 use chestnutnotch_core::upstream::Pick;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -21,6 +20,7 @@
 use http::header;
 use tokio::sync::oneshot;
 
+use crate::controllers::gate::Pass;
 use crate::edges::http::SendError;
 use crate::edges::rpc::ControlClient;
 use crate::filters::Chain;
@@ -47,13 +47,18 @@
 ///
 /// See [`Refusal`]. One that says "not run" is true.
 pub async fn once(chain: &Chain, call: &Checked) -> Result<Answer, Refusal> {
-    let pass = chain.admit(call).await?;
-    let pick = chain.worker(call, &[], Ran::NotRun).await?;
     let claim = claim(chain, call);
+    // The register goes first: it knows what an earlier submission under the key did.
     if let Err(earlier) = obtain(chain, call, &claim).await {
-        chain.upstreams.end(pick.attempt, Ended::Neutral);
         return earlier;
     }
+    let (pass, pick) = match place(chain, call).await {
+        Ok(placed) => placed,
+        Err(refusal) => {
+            conclude(chain, claim, CallEnd::NotRun).await;
+            return Err(refusal);
+        }
+    };
     let outcome = send(chain, call, pick).await;
     let (end, outcome) = match outcome {
         Ok(answer) => (CallEnd::Answered(record(chain, &answer)), Ok(answer)),
@@ -76,6 +81,13 @@
     outcome
 }
 
+/// Admission and a worker.
+async fn place(chain: &Chain, call: &Checked) -> Result<(Pass, Pick), Refusal> {
+    let pass = chain.admit(call).await?;
+    let pick = chain.worker(call, &[], Ran::NotRun).await?;
+    Ok((pass, pick))
+}
+
 fn claim(chain: &Chain, call: &Checked) -> Claim {
     Claim {
         id: call.identity.id.clone(),
@@ -93,6 +105,10 @@
     claim: &Claim,
 ) -> Result<(), Result<Answer, Refusal>> {
     let within = chain.left(call).min(CLAIM_WITHIN);
+    let unknown = match call.identity.chosen {
+        true => Ran::Unknown,
+        false => Ran::NotRun,
+    };
     let command = Command::Claim(claim.clone());
     let reply = chain.control.submit(command, within).await;
     let (word, told) = match reply {
@@ -104,10 +120,10 @@
         Ok(Reply::Claim(ClaimReply::Answered(known))) => ("repeated", Ok(recorded(known))),
         Ok(Reply::Claim(ClaimReply::Unknown)) => ("known_unknown", Err(Refusal::OutcomeUnknown)),
         Ok(Reply::Claim(ClaimReply::Mismatch)) => ("mismatch", Err(Refusal::KeyReused)),
-        Ok(_) => ("refused", Err(Refusal::NoQuorum)),
+        Ok(_) => ("refused", Err(Refusal::NoQuorum(unknown))),
         Err(_) => {
             withdraw(chain.control.clone(), claim.clone());
-            ("no_quorum", Err(Refusal::NoQuorum))
+            ("no_quorum", Err(Refusal::NoQuorum(unknown)))
         }
     };
     chain.metrics.claims.add(word);
--- a/crates/fleet/src/filters/refusal.rs
+++ b/crates/fleet/src/filters/refusal.rs
@@ -93,14 +93,14 @@
     #[error("the router's part of the budget is used up for now")]
     AllotmentShort,
     /// The router has no confirmed configuration yet.
-    #[error("the router is starting")]
-    Starting,
+    #[error("the router is starting; this submission was not sent")]
+    Starting(Ran),
     /// The router is stopping.
-    #[error("the router is stopping")]
-    Stopping,
+    #[error("the router is stopping; this submission was not sent")]
+    Stopping(Ran),
     /// No control quorum answers.
-    #[error("no control quorum answers")]
-    NoQuorum,
+    #[error("no control quorum answers; this submission was not sent")]
+    NoQuorum(Ran),
     /// No upstream offers what is wanted.
     #[error("no usable upstream serves this")]
     NoUpstream,
@@ -161,9 +161,9 @@
             Self::KeyRequired => "key_required",
             Self::BudgetSpent => "budget_spent",
             Self::AllotmentShort => "allotment_short",
-            Self::Starting => "starting",
-            Self::Stopping => "stopping",
-            Self::NoQuorum => "no_quorum",
+            Self::Starting(_) => "starting",
+            Self::Stopping(_) => "stopping",
+            Self::NoQuorum(_) => "no_quorum",
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
             Self::Shed { .. } => "shed",
@@ -189,9 +189,9 @@
             Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Self::KeyReused | Self::Quarantined { .. } => StatusCode::UNPROCESSABLE_ENTITY,
             Self::BudgetSpent | Self::AllotmentShort => StatusCode::TOO_MANY_REQUESTS,
-            Self::Starting
-            | Self::Stopping
-            | Self::NoQuorum
+            Self::Starting(_)
+            | Self::Stopping(_)
+            | Self::NoQuorum(_)
             | Self::NoUpstream
             | Self::Overloaded
             | Self::Shed { .. }
@@ -206,7 +206,12 @@
     /// Whether the refused request ran.
     pub fn ran(&self) -> Ran {
         match self {
-            Self::Failed(ran) | Self::Deadline(ran) | Self::Quarantined { ran, .. } => *ran,
+            Self::Starting(ran)
+            | Self::Stopping(ran)
+            | Self::NoQuorum(ran)
+            | Self::Failed(ran)
+            | Self::Deadline(ran)
+            | Self::Quarantined { ran, .. } => *ran,
             Self::BillUnsafe => Ran::Ran,
             Self::OutcomeUnknown | Self::CallRunning => Ran::Unknown,
             _ => Ran::NotRun,
@@ -217,11 +222,11 @@
     pub fn retry_after(&self) -> Option<u64> {
         match self {
             Self::BudgetSpent => Some(SPENT_SECONDS),
-            Self::NoQuorum | Self::NoUpstream => Some(LATER_SECONDS),
+            Self::NoQuorum(_) | Self::NoUpstream => Some(LATER_SECONDS),
             Self::Quarantined { after, .. } | Self::Shed { after } => Some(*after),
             Self::AllotmentShort
-            | Self::Starting
-            | Self::Stopping
+            | Self::Starting(_)
+            | Self::Stopping(_)
             | Self::Overloaded
             | Self::Failed(_)
             | Self::Deadline(_)
@@ -257,7 +262,7 @@
         if let Some(seconds) = self.retry_after() {
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
         }
-        if matches!(self, Self::Stopping) {
+        if matches!(self, Self::Stopping(_)) {
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/crates/fleet/src/filters/route.rs
+++ b/crates/fleet/src/filters/route.rs
@@ -92,14 +92,15 @@
     /// is counted later sees the stop.
     async fn work(&self, request: Request<Incoming>) -> Result<Response<ReplyBody>, Refusal> {
         let flight = self.lifecycle.enter();
+        let earlier = call::earlier(&request);
         match self.lifecycle.stage() {
-            Stage::Starting => return Err(Refusal::Starting),
+            Stage::Starting => return Err(Refusal::Starting(earlier)),
             Stage::Serving => {}
-            Stage::Stopping | Stage::Closed => return Err(Refusal::Stopping),
+            Stage::Stopping | Stage::Closed => return Err(Refusal::Stopping(earlier)),
         }
-        let chain = self.chain.get().ok_or(Refusal::Starting)?;
+        let chain = self.chain.get().ok_or(Refusal::Starting(earlier))?;
         let chain = Arc::clone(chain);
-        let config = self.config.current().ok_or(Refusal::Starting)?;
+        let config = self.config.current().ok_or(Refusal::Starting(earlier))?;
         if request.uri().path() == CHAT_PATH {
             expect(&request, Method::POST, "POST")?;
             return chat::serve(chain, config, flight, request).await;
--- a/crates/fleet/tests/router_call.rs
+++ b/crates/fleet/tests/router_call.rs
@@ -44,6 +44,20 @@
     }
 );
 
+case!(
+    recorded_answer_is_given_without_a_worker,
+    |mut bench| async move {
+        bench.desk(Faults::default()).await;
+        let key = [("idempotency-key", "r-6")];
+        let first = bench.ask(RESERVE, &key, &jacket()).await;
+        assert_eq!(first.status, StatusCode::OK);
+        bench.leave(0);
+        support::until(async || bench.ask(RESERVE, &[], &jacket()).await.status != 200).await;
+        let again = bench.ask(RESERVE, &key, &jacket()).await;
+        assert_eq!((again.status, &again.body), (first.status, &first.body));
+    }
+);
+
 case!(
     cut_answer_is_unknown_and_never_sent_again,
     |mut bench| async move {
@@ -73,11 +87,17 @@
         let key = [("idempotency-key", "r-3")];
         let answer = bench.ask(RESERVE, &key, &jacket()).await;
         assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        // An earlier submission under a key of the caller's may have run.
         assert_eq!(
             (answer.code(), answer.ran()),
-            ("no_quorum".into(), "not_run".into())
+            ("no_quorum".into(), "unknown".into())
         );
         assert!(answer.headers.contains_key("retry-after"));
+        let fresh = bench.ask(RESERVE, &[], &jacket()).await;
+        assert_eq!(
+            (fresh.code(), fresh.ran()),
+            ("no_quorum".into(), "not_run".into())
+        );
         assert_eq!(bench.stats(0).await.requests, 0);
         let stock = bench
             .send(Method::GET, "/services/desk/stock", &bearer(), Bytes::new())
