--- a/crates/fleet/src/controllers/allotment.rs
+++ b/crates/fleet/src/controllers/allotment.rs
@@ -36,7 +36,7 @@
 use crate::filters::refusal::Refusal;
 use crate::metrics::Metrics;
 use crate::timer::Timer;
-use crate::timer::random_part;
+use crate::timer::jitter;
 
 const DRAW_WITHIN: Duration = Duration::from_millis(500);
 const LEAVE_WITHIN: Duration = Duration::from_secs(3);
@@ -148,7 +148,7 @@
             // Without an answer in time, the next round tries again.
             let _ = tokio::time::timeout(left.min(DRAW_WITHIN), rounds.changed()).await;
             if waited {
-                tokio::time::sleep(random_part(pause.min(left))).await;
+                tokio::time::sleep(jitter(pause.min(left))).await;
                 pause = (pause * 2).min(MOST_PAUSE);
             }
             waited = true;
--- a/crates/fleet/src/controllers/bills.rs
+++ b/crates/fleet/src/controllers/bills.rs
@@ -25,7 +25,7 @@
 use crate::controllers::allotment::Allotment;
 use crate::edges::rpc::ControlClient;
 use crate::metrics::Metrics;
-use crate::timer::random_part;
+use crate::timer::jitter;
 
 const QUORUM_WITHIN: Duration = Duration::from_millis(300);
 const PROBE_WITHIN: Duration = Duration::from_millis(60);
@@ -182,7 +182,7 @@
                 return;
             }
             self.metrics.bills.add("resent");
-            tokio::time::sleep(pause / 2 + random_part(pause)).await;
+            tokio::time::sleep(pause / 2 + jitter(pause)).await;
             pause = (pause * 2).min(MOST_PAUSE);
         }
     }
--- a/crates/fleet/src/controllers/replica/meet.rs
+++ b/crates/fleet/src/controllers/replica/meet.rs
@@ -70,7 +70,7 @@
             (self.greeting.pause * 2).min(GREET_MAX_MILLIS)
         };
         let pause = std::time::Duration::from_millis(self.greeting.pause);
-        let jitter = crate::timer::jitter(pause, &mut rand::rng()).as_millis() as u64;
+        let jitter = crate::timer::jitter(pause).as_millis() as u64;
         self.greeting.next = self.timer.now() + Millis(self.greeting.pause / 2 + jitter);
         if let Some(members) = members
             && self.replica.node().blank()
--- a/crates/fleet/src/edges/rpc/backoff.rs
+++ b/crates/fleet/src/edges/rpc/backoff.rs
@@ -19,7 +19,7 @@
 
     /// The next pause.
     pub fn pause(&mut self) -> Duration {
-        let pause = jitter(self.next, &mut rand::rng());
+        let pause = jitter(self.next);
         self.next = self.most.min(self.next * 2);
         pause
     }
--- a/crates/fleet/src/edges/rpc/peer.rs
+++ b/crates/fleet/src/edges/rpc/peer.rs
@@ -284,7 +284,7 @@
             continue;
         }
         let half = Duration::from_millis(backoff) / 2;
-        let pause = half + jitter(half, &mut rand::rng());
+        let pause = half + jitter(half);
         tokio::time::sleep(pause).await;
         backoff = (backoff * 2).min(BACKOFF_MAX_MILLIS);
         while queue.try_recv().is_ok() {}
--- a/crates/fleet/src/filters/claim.rs
+++ b/crates/fleet/src/filters/claim.rs
@@ -30,7 +30,7 @@
 use crate::filters::call::message;
 use crate::filters::refusal::Ran;
 use crate::filters::refusal::Refusal;
-use crate::timer::random_part;
+use crate::timer::jitter;
 
 const CLAIM_WITHIN: Duration = Duration::from_millis(2_000);
 const CONCLUDE_WITHIN: Duration = Duration::from_millis(1_000);
@@ -194,7 +194,7 @@
         if let Ok(reply) = control.submit(command.clone(), CONCLUDE_WITHIN).await {
             return Some(reply);
         }
-        tokio::time::sleep(pause / 2 + random_part(pause)).await;
+        tokio::time::sleep(pause / 2 + jitter(pause)).await;
         pause = (pause * 2).min(MOST_PAUSE);
     }
     log::warn!("gave up resending a claim or its end");
--- a/crates/fleet/src/filters/relay.rs
+++ b/crates/fleet/src/filters/relay.rs
@@ -19,7 +19,7 @@
 use crate::filters::output::Gone;
 use crate::filters::refusal::Ran;
 use crate::filters::refusal::Refusal;
-use crate::timer::random_part;
+use crate::timer::jitter;
 
 const RESUMES: u32 = 2;
 const RESUME_PAUSE: Duration = Duration::from_millis(40);
@@ -75,7 +75,7 @@
 
     /// Opens the rest of a broken stream on the same upstream.
     async fn resume(&self, open: &Open, reader: &mut Reader) -> Option<Source> {
-        tokio::time::sleep(random_part(RESUME_PAUSE)).await;
+        tokio::time::sleep(jitter(RESUME_PAUSE)).await;
         reader.rewind();
         let within = self.left().min(Duration::from_millis(self.spec.between.0));
         let client = &self.chain.client;
--- a/crates/fleet/src/router.rs
+++ b/crates/fleet/src/router.rs
@@ -40,7 +40,7 @@
 use crate::settings::RouterSettings;
 use crate::settings::Settings;
 use crate::timer::Timer;
-use crate::timer::random_part;
+use crate::timer::jitter;
 
 const JOIN_WITHIN: Duration = Duration::from_secs(2);
 const JOIN_PAUSE: Duration = Duration::from_millis(100);
@@ -332,7 +332,7 @@
                 Ok(reply) => log::error!("joining was answered with {reply:?}"),
                 Err(error) => log::debug!("not joined yet: {error}"),
             }
-            let pause = random_part(JOIN_PAUSE);
+            let pause = jitter(JOIN_PAUSE);
             tokio::time::sleep(JOIN_PAUSE + pause).await;
         }
     }
--- a/crates/fleet/src/timer.rs
+++ b/crates/fleet/src/timer.rs
@@ -5,7 +5,6 @@
 use std::time::SystemTime;
 
 use chestnutnotch_core::unit::Millis;
-use rand::Rng;
 use rand::RngExt;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
@@ -41,7 +40,7 @@
         let (tx, rx) = mpsc::channel(1);
         let timer = self.clone();
         tokio::spawn(async move {
-            let start = tokio::time::Instant::now() + jitter(period, &mut rand::rng());
+            let start = tokio::time::Instant::now() + jitter(period);
             let mut ticks = tokio::time::interval_at(start, period);
             ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
             loop {
@@ -64,11 +63,6 @@
 }
 
 /// A random part of a period.
-pub fn jitter(period: Duration, rng: &mut impl Rng) -> Duration {
-    period.mul_f64(rng.random::<f64>())
-}
-
-/// A random part of a period, out of the thread's own generator.
-pub fn random_part(period: Duration) -> Duration {
-    jitter(period, &mut rand::rng())
+pub fn jitter(period: Duration) -> Duration {
+    period.mul_f64(rand::rng().random::<f64>())
 }
