--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -106,8 +106,8 @@
     }
 }
 
-const ELECTION_MILLIS: u64 = 400;
-const HEARTBEAT_MILLIS: u64 = 80;
+const ELECTION_MILLIS: u64 = 800;
+const HEARTBEAT_MILLIS: u64 = 200;
 const SNAPSHOT_ENTRIES: u64 = 10_000;
 const BODY_BYTES: usize = 4 << 20;
 const RECORD_BYTES: usize = 64 << 10;
