The test of a leaving upstream can fail

Cause: all of its chats had the same prompt, so prefix affinity sent them to the engine that had served the first, whatever the choice made of the leave. Each has a prompt of its own now. With the phase ignored in the choice: before, passed; after, 8 requests reach the leaving engine and it fails.

--- a/crates/cli/tests/fleet/upstreams.rs
+++ b/crates/cli/tests/fleet/upstreams.rs
@@ -79,13 +79,15 @@
     fleet.engines[0].terminate();
     tokio::time::sleep(std::time::Duration::from_millis(1_000)).await;
     let before = fleet.engine_stats(0).await;
+    // Prompts of their own: equal ones would follow the first one's prefix to one engine.
+    let other = |n: usize| format!("{n} goes elsewhere");
     let chats = (0..20).map(|n| {
-        let ask = fleet.ask(n % 2, "renter-chat", "elsewhere").most(20);
+        let ask = fleet.ask(n % 2, "renter-chat", &other(n)).most(20);
         let client = fleet.client.clone();
         async move { client.chat(&ask).await }
     });
-    for answer in join_all(chats).await {
-        assert!(answer.answers("elsewhere", 20), "{answer:?}");
+    for (n, answer) in join_all(chats).await.into_iter().enumerate() {
+        assert!(answer.answers(&other(n), 20), "{answer:?}");
     }
     let after = fleet.engine_stats(0).await;
     assert_eq!(
