--- a/crates/core/examples/choice_policy/fleet.rs
+++ b/crates/core/examples/choice_policy/fleet.rs
@@ -326,6 +326,8 @@
         }
         let request = &self.requests[index];
         let wanted = Wanted {
+            sizes: Vec::new(),
+            home: None,
             kind: kind(),
             priority: 0,
             prefixes: request.prefixes.clone(),
--- a/crates/core/examples/choice_policy/sizes.rs
+++ b/crates/core/examples/choice_policy/sizes.rs
@@ -53,6 +53,8 @@
     let start = Instant::now();
     for n in 0..CHOICES {
         let wanted = Wanted {
+            sizes: Vec::new(),
+            home: None,
             kind: Kind::Model(Model::from("model-0"), None),
             priority: 0,
             prefixes: vec![1, 2, 3],
--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -20,6 +20,7 @@
 use crate::id::RouterId;
 use crate::id::Service;
 use crate::id::SubmissionId;
+use crate::route::Adopt;
 use crate::unit::Fence;
 use crate::unit::Incarnation;
 use crate::unit::Millis;
@@ -64,6 +65,8 @@
     Resolve(Resolve),
     /// A process asks to give the orders in a data centre.
     Lead(Lead),
+    /// A set of pass-through routes, in force unless a higher version is.
+    Adopt(Adopt),
 }
 
 /// See [`Command::Join`].
@@ -266,6 +269,8 @@
     Retired(Option<Incarnation>),
     /// To [`Command::Lead`].
     Leads(Fence),
+    /// To [`Command::Adopt`]: the version in force after it.
+    Adopted(u64),
     /// The command was refused and changed nothing.
     Refused(Refusal),
 }
--- a/crates/core/src/ledger/account.rs
+++ b/crates/core/src/ledger/account.rs
@@ -66,6 +66,13 @@
         self.unallotted += amount;
     }
 
+    /// Takes tokens back, as far as nobody holds them.
+    pub fn withdraw(&mut self, amount: Tokens) {
+        let taken = amount.min(self.unallotted);
+        self.prepaid = self.prepaid.saturating_sub(taken);
+        self.unallotted = self.unallotted.saturating_sub(taken);
+    }
+
     /// Whether all tokens are accounted for.
     pub fn is_conserved(&self) -> bool {
         let rests: Tokens = self.shares.values().map(|share| share.rest).sum();
--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -71,6 +71,16 @@
         self.accounts.insert(budget.clone(), account);
     }
 
+    /// Brings a budget to a total: creates it, deposits what lacks, or takes back what nobody
+    /// holds. A lower total than what is spent or allotted is reached as far as can be.
+    pub(crate) fn set_prepaid(&mut self, budget: &Budget, total: Tokens) {
+        let account = self.accounts.entry(budget.clone()).or_default();
+        let lacking = total.saturating_sub(account.prepaid);
+        let surplus = account.prepaid.saturating_sub(total);
+        account.deposit(lacking);
+        account.withdraw(surplus);
+    }
+
     /// First deposit and top-ups of a budget.
     pub fn prepaid(&self, budget: &Budget) -> Option<Tokens> {
         self.accounts.get(budget).map(|account| account.prepaid)
--- a/crates/core/src/ledger/purse.rs
+++ b/crates/core/src/ledger/purse.rs
@@ -8,6 +8,7 @@
 use crate::command::Grant;
 use crate::id::Budget;
 use crate::id::Holder;
+use crate::ledger::pace::Pace;
 use crate::ledger::row::Row;
 use crate::machine::Fault;
 use crate::map::Map;
@@ -51,6 +52,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Purse {
     holder: Holder,
+    pace: Pace,
     seq: u64,
     rows: Map<Budget, Row>,
     left: bool,
@@ -60,8 +62,14 @@
 impl Purse {
     /// An empty purse.
     pub fn new(holder: Holder) -> Self {
+        Self::paced(holder, Pace::default())
+    }
+
+    /// An empty purse with settings.
+    pub fn paced(holder: Holder, pace: Pace) -> Self {
         Self {
             holder,
+            pace,
             seq: 0,
             rows: Map::default(),
             left: false,
@@ -146,14 +154,20 @@
         if self.left {
             return None;
         }
-        self.rows.values_mut().for_each(|row| row.measure(now));
-        if !self.rows.values().any(|row| row.is_due(now)) {
+        let pace = self.pace;
+        self.rows
+            .values_mut()
+            .for_each(|row| row.measure(now, &pace));
+        if !self.rows.values().any(|row| row.is_due(now, &pace)) {
             return None;
         }
         let seq = self.seq + 1;
-        let near = self.rows.iter_mut().filter(|(_, row)| row.is_near(now));
+        let near = self
+            .rows
+            .iter_mut()
+            .filter(|(_, row)| row.is_near(now, &pace));
         let mut rows: Vec<DrawRow> = near
-            .map(|(budget, row)| row.ask(now, seq, budget, self.fault))
+            .map(|(budget, row)| row.ask(now, seq, budget, &pace, self.fault))
             .collect();
         rows.sort_by(|a, b| a.budget.cmp(&b.budget));
         self.seq = seq;
--- a/crates/core/src/ledger/row.rs
+++ b/crates/core/src/ledger/row.rs
@@ -3,17 +3,12 @@
 use crate::command::DrawRow;
 use crate::command::Grant;
 use crate::id::Budget;
+use crate::ledger::pace::Pace;
 use crate::ledger::purse::Short;
 use crate::machine::Fault;
 use crate::unit::Millis;
 use crate::unit::Tokens;
 
-/// Least tokens drawn ahead.
-const STEP: Tokens = Tokens(20_000);
-
-/// Span of recent spending that is drawn ahead.
-const AHEAD_SECONDS: u64 = 1_200;
-
 /// Least exposure asked for.
 const EXPOSURE_STEP: Tokens = Tokens(8_000);
 
@@ -26,12 +21,6 @@
 /// Tokens are scarce while less than so many of the largest reservations are unallotted.
 const SCARCE_COUNT: u64 = 16;
 
-/// Time between reports while tokens are scarce.
-const SCARCE_MILLIS: Millis = Millis(500);
-
-/// Time between reports otherwise.
-const AMPLE_MILLIS: Millis = Millis(10_000);
-
 /// Without a reservation for this long, all is returned.
 const IDLE_MILLIS: Millis = Millis(300_000);
 
@@ -44,9 +33,6 @@
 /// Least span over which the rate of spending is measured.
 const RATE_MILLIS: Millis = Millis(1_000);
 
-/// Span over which older spending fades from the rate.
-const FADE_MILLIS: u64 = 600_000;
-
 /// All counts but `reserved` are cumulative.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub(super) struct Row {
@@ -169,24 +155,32 @@
     }
 
     /// Whether a report is due.
-    pub fn is_due(&self, now: Millis) -> bool {
-        self.is_past(now, 1)
+    pub fn is_due(&self, now: Millis, pace: &Pace) -> bool {
+        self.is_past(now, 1, pace)
     }
 
     /// Whether a report may go along with that of another budget.
-    pub fn is_near(&self, now: Millis) -> bool {
-        self.is_past(now, 2)
+    pub fn is_near(&self, now: Millis, pace: &Pace) -> bool {
+        self.is_past(now, 2, pace)
     }
 
     /// Measures the rate of spending.
-    pub fn measure(&mut self, now: Millis) {
-        self.rate.measure(now, self.billed + self.wasted);
+    pub fn measure(&mut self, now: Millis, pace: &Pace) {
+        let spent = self.billed + self.wasted;
+        self.rate.measure(now, spent, pace.fade);
     }
 
     /// The report.
-    pub fn ask(&mut self, now: Millis, seq: u64, budget: &Budget, fault: Option<Fault>) -> DrawRow {
-        self.hand_back(now);
-        let exposure = self.wished_exposure();
+    pub fn ask(
+        &mut self,
+        now: Millis,
+        seq: u64,
+        budget: &Budget,
+        pace: &Pace,
+        fault: Option<Fault>,
+    ) -> DrawRow {
+        self.hand_back(now, pace);
+        let exposure = self.wished_exposure(now, pace);
         self.limit = self.limit.min(exposure);
         self.last = Some(Sent {
             seq,
@@ -198,7 +192,7 @@
         let need = self.used() + self.need;
         let row = DrawRow {
             budget: budget.clone(),
-            want: need + self.ahead(now),
+            want: need + self.ahead(now, pace),
             need,
             returned: self.returned,
             wasted: self.wasted,
@@ -212,7 +206,7 @@
     }
 
     /// Whether a part of the time between reports is over, or there is another reason for one.
-    fn is_past(&self, now: Millis, part: u64) -> bool {
+    fn is_past(&self, now: Millis, part: u64, pace: &Pace) -> bool {
         let Some(last) = &self.last else {
             return self.need > Tokens::ZERO;
         };
@@ -224,10 +218,10 @@
         }
         let is_short = self.need > Tokens::ZERO || self.peak.doubled() > self.limit;
         let has_idle = self.recall.min(self.idle()) > Tokens::ZERO;
-        is_short || has_idle || now >= last.at + Millis(self.interval(now).0 / part)
+        is_short || has_idle || now >= last.at + Millis(self.interval(now, pace).0 / part)
     }
 
-    fn interval(&self, now: Millis) -> Millis {
+    fn interval(&self, now: Millis, pace: &Pace) -> Millis {
         let held = self.free() + self.reserved;
         let is_settled = held == Tokens::ZERO && self.wasted == self.acked;
         if is_settled {
@@ -237,19 +231,19 @@
             let few = Tokens(self.largest.0.saturating_mul(SCARCE_COUNT));
             word.unallotted < few
         });
-        let is_low = self.free().0 < self.level.0 / 2 && self.ahead(now) > self.free();
+        let is_low = self.free().0 < self.level.0 / 2 && self.ahead(now, pace) > self.free();
         if is_scarce || is_low {
-            return SCARCE_MILLIS;
+            return pace.scarce;
         }
-        AMPLE_MILLIS
+        pace.ample
     }
 
     /// Tokens to hold beyond the need.
-    fn ahead(&self, now: Millis) -> Tokens {
+    fn ahead(&self, now: Millis, pace: &Pace) -> Tokens {
         if self.is_idle(now) {
             return Tokens::ZERO;
         }
-        STEP.max(self.rate.over(AHEAD_SECONDS))
+        pace.step.max(self.rate.over(pace.ahead))
     }
 
     fn is_idle(&self, now: Millis) -> bool {
@@ -261,19 +255,23 @@
         self.free().saturating_sub(self.need)
     }
 
-    fn hand_back(&mut self, now: Millis) {
+    fn hand_back(&mut self, now: Millis, pace: &Pace) {
         let recalled = self.recall.min(self.idle());
         let surplus = match self.is_idle(now) {
             true => self.free(),
             false => self
                 .free()
-                .saturating_sub(self.ahead(now) + self.ahead(now)),
+                .saturating_sub(self.ahead(now, pace) + self.ahead(now, pace)),
         };
         self.returned += recalled.max(surplus);
         self.recall = Tokens::ZERO;
     }
 
-    fn wished_exposure(&mut self) -> Tokens {
+    fn wished_exposure(&mut self, now: Millis, pace: &Pace) -> Tokens {
+        if pace.whole {
+            let level = self.free().max(self.need + self.ahead(now, pace));
+            return level + self.exposed();
+        }
         let steps = self.peak.doubled().0.div_ceil(EXPOSURE_STEP.0).max(1);
         let wished = Tokens(EXPOSURE_STEP.0.saturating_mul(steps));
         wished.max(self.exposed())
@@ -337,7 +335,7 @@
 
 impl Rate {
     /// A mean over the whole past at first, in which older spending fades later.
-    fn measure(&mut self, now: Millis, spent: Tokens) {
+    fn measure(&mut self, now: Millis, spent: Tokens, fade: Millis) {
         let start = *self.start.get_or_insert(now);
         let span = now.saturating_sub(self.at).0;
         if span < RATE_MILLIS.0 {
@@ -345,7 +343,7 @@
         }
         let more = spent.saturating_sub(self.spent).0;
         let recent = more.saturating_mul(1_000_000) / span;
-        let past = now.saturating_sub(start).0.min(FADE_MILLIS);
+        let past = now.saturating_sub(start).0.min(fade.0);
         let past = past.saturating_sub(span).saturating_add(1);
         let (old, new) = (u128::from(self.milli), u128::from(recent));
         let (past, span) = (u128::from(past), u128::from(span));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`machine`]: what the log drives: budgets, bills, claims, configuration, the audit trail.
 //! - [`ledger`], [`claim`], [`config`]: the parts of the machine and their clients' halves.
 //! - [`upstream`], [`limit`]: what a router decides by itself.
+//! - [`route`]: pass-through routes.
+//! - [`roster`]: the nodes of the system, and how news spreads between them.
 //! - [`order`]: who may give orders to upstreams.
 
 pub mod claim;
@@ -20,5 +22,7 @@
 pub mod map;
 pub mod order;
 pub mod replica;
+pub mod roster;
+pub mod route;
 pub mod unit;
 pub mod upstream;
--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -5,6 +5,7 @@
 pub mod pace;
 pub mod progress;
 pub mod retry;
+pub mod window;
 
 pub use gate::Arrival;
 pub use gate::Gate;
@@ -18,3 +19,5 @@
 pub use progress::Progress;
 pub use retry::RetryBudget;
 pub use retry::RetryRules;
+pub use window::RetryWindow;
+pub use window::WindowRules;
--- a/crates/core/src/machine/apply.rs
+++ b/crates/core/src/machine/apply.rs
@@ -27,12 +27,16 @@
 use crate::machine::Machine;
 use crate::machine::hosts::Joined;
 use crate::machine::submissions;
+use crate::route::Adopt;
 use crate::unit::Incarnation;
 use crate::unit::Tokens;
 
 /// Subject of configuration changes in the audit trail.
 const CONFIGURATION: &str = "configuration";
 
+/// Subject of changes of the pass-through routes in the audit trail.
+const ROUTES: &str = "routes";
+
 impl Machine {
     /// Applies one agreed command. The same log gives the same state and replies everywhere.
     pub fn apply(&mut self, stamped: &Stamped) -> Reply {
@@ -51,6 +55,7 @@
             Command::Seal(seal) => self.seal(operator, seal),
             Command::Resolve(resolve) => self.resolve(operator, resolve),
             Command::Lead(lead) => self.lead(operator, lead),
+            Command::Adopt(adopt) => self.adopt(operator, adopt),
         }
     }
 
@@ -232,6 +237,19 @@
         Reply::Leads(fence)
     }
 
+    /// A version that is not higher changes nothing and leaves no row: publishers resend.
+    fn adopt(&mut self, operator: &Operator, adopt: &Adopt) -> Reply {
+        let before = self.plan.version.to_string();
+        if self.plan.adopt(adopt) {
+            for row in &adopt.prepaid {
+                self.ledger.set_prepaid(&row.budget, row.total);
+            }
+            let after = self.plan.version.to_string();
+            self.record(operator, Action::Adopt, ROUTES, &before, &after, None);
+        }
+        Reply::Adopted(self.plan.version)
+    }
+
     fn resent(&self, id: &SubmissionId, content: Fingerprint) -> Option<Reply> {
         if self.fault == Some(Fault::ForgetSubmission) {
             return None;
--- a/crates/core/src/machine/audit.rs
+++ b/crates/core/src/machine/audit.rs
@@ -56,6 +56,8 @@
     TopUp,
     /// A router became the one to give orders.
     Lead,
+    /// A set of pass-through routes.
+    Adopt,
 }
 
 impl fmt::Display for Action {
@@ -70,6 +72,7 @@
             Self::Publish => "publish",
             Self::TopUp => "top-up",
             Self::Lead => "lead",
+            Self::Adopt => "adopt",
         })
     }
 }
--- a/crates/core/src/machine/state.rs
+++ b/crates/core/src/machine/state.rs
@@ -20,6 +20,7 @@
 use crate::machine::hosts::Hosts;
 use crate::machine::submissions::Submissions;
 use crate::order::lease::Leases;
+use crate::route::Held;
 use crate::unit::Millis;
 
 /// All state that the control replicas agree on. A snapshot is its serialised form.
@@ -30,6 +31,7 @@
     pub(super) ledger: Ledger,
     pub(super) claims: Claims,
     pub(super) config: Register,
+    pub(super) plan: Held,
     pub(super) leases: Leases,
     pub(super) hosts: Hosts,
     pub(super) submissions: Submissions,
@@ -61,6 +63,11 @@
         &self.config
     }
 
+    /// The pass-through routes in force.
+    pub fn plan(&self) -> &Held {
+        &self.plan
+    }
+
     /// The budgets.
     pub fn ledger(&self) -> &Ledger {
         &self.ledger
--- a/crates/core/src/replica/change.rs
+++ b/crates/core/src/replica/change.rs
@@ -13,6 +13,10 @@
 /// Most members of a group, learners included.
 const MEMBERS: usize = 16;
 
+/// Checks in a row without an answer, each an election timeout, after which a voter may be replaced:
+/// longer than a restart takes.
+pub(super) const SILENT_CHECKS: u32 = 5;
+
 impl Node {
     /// Adds a replica from outside as a learner. An older learner at its address goes.
     pub(super) fn greet(&mut self, id: ReplicaId, address: SocketAddr, out: &mut Vec<Output>) {
@@ -36,25 +40,61 @@
         self.append_own(vec![Payload::Members(members)], out);
     }
 
-    /// Takes the next step of a repair: promotes a learner that has caught up, or else removes a
-    /// voter whose address a younger voter has taken over.
+    /// Takes the next step of a repair: promotes a learner that has caught up and has a seat, or
+    /// else removes a voter whose address a younger voter has taken over, or else a silent voter
+    /// that has been replaced.
     pub(super) fn maintain(&mut self, out: &mut Vec<Output>) {
         if !self.may_change() {
             return;
         }
         let mut members = self.members().clone();
-        if let Some(learner) = self.caught_up() {
+        let learner = self.caught_up().filter(|id| self.has_seat(*id));
+        if let Some(learner) = learner {
             if let Some(member) = members.0.get_mut(&learner) {
                 member.voter = true;
             }
         } else if let Some(voter) = superseded(&members).filter(|id| *id != self.id) {
             members.0.remove(&voter);
+        } else if let Some(voter) = self.surplus() {
+            members.0.remove(&voter);
         } else {
             return;
         }
         self.append_own(vec![Payload::Members(members)], out);
     }
 
+    /// Whether a learner would take the place of a voter that is missing, silent, or stands at its
+    /// own address.
+    fn has_seat(&self, learner: ReplicaId) -> bool {
+        let Some(seats) = self.seats else {
+            return true;
+        };
+        let members = &self.members().0;
+        let address = members.get(&learner).map(|member| member.address);
+        let sound = members.iter().filter(|(id, member)| {
+            member.voter && !self.is_silent(**id) && Some(member.address) != address
+        });
+        sound.count() < seats
+    }
+
+    /// A silent voter beyond the number of seats.
+    fn surplus(&self) -> Option<ReplicaId> {
+        let seats = self.seats?;
+        let voters = self.members().voters();
+        if voters.count() <= seats {
+            return None;
+        }
+        self.members().voters().find(|id| self.is_silent(*id))
+    }
+
+    fn is_silent(&self, id: ReplicaId) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let peer = leader.peers.get(&id);
+        peer.is_some_and(|peer| peer.missed >= SILENT_CHECKS)
+    }
+
     /// Whether a change may start: the last one is committed, and so is an entry of the own term.
     fn may_change(&self) -> bool {
         let Role::Leader(leader) = &self.role else {
--- a/crates/core/src/replica/election.rs
+++ b/crates/core/src/replica/election.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::change::SILENT_CHECKS;
 use super::input::Campaign;
 use super::input::Output;
 use super::log::Payload;
@@ -159,7 +160,12 @@
         let active =
             |member| member == id || leader.peers.get(&member).is_some_and(|peer| peer.active);
         let backed = self.log.members().quorum(active);
+        let counts = self.seats.is_some();
         for peer in leader.peers.values_mut() {
+            peer.missed = match peer.active {
+                false if counts => (peer.missed + 1).min(SILENT_CHECKS),
+                _ => 0,
+            };
             peer.active = false;
         }
         if !backed {
--- a/crates/core/src/replica/founding.rs
+++ b/crates/core/src/replica/founding.rs
@@ -36,17 +36,22 @@
         self.book.get(&id).copied()
     }
 
+    /// Takes in where the replicas of a finished round answered.
+    pub fn note(&mut self, round: &Round) {
+        self.book.clear();
+        let answers = round
+            .iter()
+            .filter_map(|(at, hello)| Some((*at, (*hello)?)));
+        self.book.extend(answers.map(|(at, hello)| (hello.id, at)));
+    }
+
     /// Takes in a finished round; returns the members if this replica now founds the group.
     ///
     /// Two rounds in a row have to find the same replicas, all blank. A replica found in the first
     /// round was there before the second one asked the others, so a group that had been founded with
     /// a lost predecessor of it shows in the second.
     pub fn observe(&mut self, own: ReplicaId, round: &Round) -> Option<Members> {
-        self.book.clear();
-        let answers = round
-            .iter()
-            .filter_map(|(at, hello)| Some((*at, (*hello)?)));
-        self.book.extend(answers.map(|(at, hello)| (hello.id, at)));
+        self.note(round);
         let blanks = all_blank(round);
         let repeated = blanks.is_some() && blanks == self.blanks;
         self.blanks = blanks;
--- a/crates/core/src/replica/node.rs
+++ b/crates/core/src/replica/node.rs
@@ -50,6 +50,9 @@
     pub(super) role: Role,
     pub(super) leader: Option<ReplicaId>,
     pub(super) heard: bool,
+    /// Number of voters to keep by replacing silent ones; without it, every learner is promoted and
+    /// no voter is removed for silence.
+    pub(super) seats: Option<usize>,
 }
 
 /// What a replica is doing.
@@ -109,6 +112,7 @@
             role: Role::Follower(None),
             leader: None,
             heard: false,
+            seats: None,
         }
     }
 
@@ -130,6 +134,17 @@
         }
     }
 
+    /// Keeps this number of voters: silent ones are replaced by learners.
+    pub fn seated(mut self, seats: Option<usize>) -> Self {
+        self.seats = seats;
+        self
+    }
+
+    /// Whether a leader was heard within the last election timeout, or the node leads.
+    pub fn hears(&self) -> bool {
+        self.heard || self.leads()
+    }
+
     /// Own identity.
     pub fn id(&self) -> ReplicaId {
         self.id
--- a/crates/core/src/replica/pacer.rs
+++ b/crates/core/src/replica/pacer.rs
@@ -49,6 +49,12 @@
         replica
     }
 
+    /// See [`Node::seated`].
+    pub fn seated(mut self, seats: Option<usize>) -> Self {
+        self.node = self.node.seated(seats);
+        self
+    }
+
     /// The protocol's state.
     pub fn node(&self) -> &Node {
         &self.node
--- a/crates/core/src/replica/peer.rs
+++ b/crates/core/src/replica/peer.rs
@@ -21,6 +21,8 @@
     pub round: u64,
     /// Whether it answered since the last check.
     pub active: bool,
+    /// Checks in a row without an answer, up to the bound that matters.
+    pub missed: u32,
 }
 
 /// How entries are sent to a member.
@@ -51,6 +53,7 @@
             flow: Flow::Probe { sent: false },
             round: 0,
             active: false,
+            missed: 0,
         }
     }
 
--- a/crates/core/src/upstream/candidate.rs
+++ b/crates/core/src/upstream/candidate.rs
@@ -40,10 +40,12 @@
             return;
         }
         let full = row.full(view.now, view.rules, view.routers);
-        match row.usage(view.now, view.rules, view.routers) {
+        match row.usage(view.now, view.latest, view.rules, view.routers) {
             Usage::Leaving | Usage::Silent => {}
+            // Without a sure view of the load, a full one is the last resort: it refuses by itself.
+            Usage::Full if view.rules.passive => self.stale.push(row),
             Usage::Full => self.full = true,
-            _ if full => self.full = true,
+            _ if full && !view.rules.passive => self.full = true,
             Usage::Used => self.fresh.push(row),
             Usage::Stale => self.stale.push(row),
             Usage::Ejected { until } => self.ejected.push((until, row)),
--- a/crates/core/src/upstream/choice.rs
+++ b/crates/core/src/upstream/choice.rs
@@ -4,7 +4,10 @@
 //! lagging reports do not all turn to the same upstream. The one with most of the prompt cached
 //! joins the draw; its advantage is bounded, so load outweighs it.
 
+use std::hash::Hasher;
+
 use rand::Rng;
+use rustc_hash::FxHasher;
 
 use crate::id::DataCentre;
 use crate::unit::Millis;
@@ -23,11 +26,16 @@
     pub routers: u32,
     /// Whether an earlier crash marks the request.
     pub marked: bool,
+    /// When any upstream was last heard of.
+    pub latest: Millis,
 }
 
 impl View<'_> {
     /// Index of the chosen row, if there is any.
     pub fn choose(&self, rows: &[&Row], rng: &mut impl Rng) -> Option<usize> {
+        if !self.wanted.sizes.is_empty() {
+            return self.quickest(rows);
+        }
         let drawn = self.draw(rows.len(), rng);
         let cached = self.cached(rows);
         let local = self.local(rows, rng);
@@ -38,6 +46,39 @@
             .min_by_key(|&index| self.cost(rows[index]))
     }
 
+    /// The one with the shortest expected wait for the first event.
+    ///
+    /// All are weighed, not a sample: own attempts count at once, and what a router can't see of the
+    /// others is evened out by the agreed upstream of each session.
+    fn quickest(&self, rows: &[&Row]) -> Option<usize> {
+        let home = self.home(rows);
+        (0..rows.len()).min_by_key(|&index| {
+            let row = rows[index];
+            let unread = match home {
+                Some(home) if home != index => self.wanted.sizes.iter().sum(),
+                _ => self.unread(row),
+            };
+            let read = (row.unread + unread) / self.rules.reads.max(1);
+            let taken = u64::from(row.taken(self.rules)) * self.rules.turn;
+            (read + taken, index)
+        })
+    }
+
+    /// The upstream that all routers agree on for this session: the one with the highest hash.
+    fn home(&self, rows: &[&Row]) -> Option<usize> {
+        let key = *self.wanted.prefixes.get(self.wanted.home?)?;
+        (0..rows.len()).max_by_key(|&index| rank(key, rows[index].said.upstream.as_str()))
+    }
+
+    /// Prompt tokens that the upstream likely has not cached.
+    pub fn unread(&self, row: &Row) -> u64 {
+        let sizes = self.wanted.sizes.iter();
+        let parts = self.wanted.prefixes.iter().zip(sizes);
+        let lacking =
+            parts.skip_while(|(hash, _)| row.prefixes.holds(self.now, **hash, self.rules));
+        lacking.map(|(_, size)| *size).sum()
+    }
+
     /// Distinct random indices below `count`.
     fn draw(&self, count: usize, rng: &mut impl Rng) -> Vec<usize> {
         if count <= self.rules.sample {
@@ -98,6 +139,14 @@
     }
 }
 
+/// Weight of an upstream for a session, the same at every router.
+fn rank(key: u64, upstream: &str) -> u64 {
+    let mut hasher = FxHasher::default();
+    hasher.write_u64(key);
+    hasher.write(upstream.as_bytes());
+    hasher.finish()
+}
+
 const SHARED_MARK: i64 = 1_000;
 
 fn below(rng: &mut impl Rng, count: usize) -> usize {
--- a/crates/core/src/upstream/pool.rs
+++ b/crates/core/src/upstream/pool.rs
@@ -54,7 +54,7 @@
 /// How many requests this router may have on an upstream: its even part at least, and half of what
 /// seems free besides, since all routers see the same free slots.
 fn room(row: &Row, now: Millis, rules: &Rules, routers: u32) -> u32 {
-    match row.usage(now, rules, routers) {
+    match row.usage(now, now, rules, routers) {
         Usage::Leaving | Usage::Silent => return 0,
         Usage::Ejected { .. } => return row.flying,
         Usage::Used | Usage::Full | Usage::Stale => {}
--- a/crates/core/src/upstream/prefix.rs
+++ b/crates/core/src/upstream/prefix.rs
@@ -65,6 +65,12 @@
         u32::try_from(part).unwrap_or(1_000)
     }
 
+    /// Whether a prefix is likely cached.
+    pub fn holds(&self, now: Millis, hash: u64, rules: &Rules) -> bool {
+        let seen = self.seen.get(&hash);
+        seen.is_some_and(|seen| now < seen.at + rules.cached)
+    }
+
     /// Forgets everything.
     pub fn clear(&mut self) {
         self.seen.clear();
--- a/crates/core/src/upstream/quarantine.rs
+++ b/crates/core/src/upstream/quarantine.rs
@@ -94,6 +94,13 @@
         }
     }
 
+    /// How many upstreams broke the request off, and when the last one did.
+    pub fn breaks(&self, body: &Fingerprint) -> (usize, Millis) {
+        let marks = self.marks.get(body);
+        let last = marks.into_iter().flatten().map(|mark| mark.at).max();
+        (marks.map_or(0, Vec::len), last.unwrap_or_default())
+    }
+
     /// The connection broke while the upstream ran the request; whether it crashed is open.
     pub fn broke(&mut self, now: Millis, crash: Crash) {
         let body = crash.body;
@@ -116,6 +123,13 @@
         self.found.truncate(MOST_FOUND);
     }
 
+    /// The connection broke, and the upstream can't be asked: the others are told at once.
+    pub fn find(&mut self, now: Millis, crash: Crash) {
+        self.mark(now, crash.clone(), true);
+        self.found.push(crash);
+        self.found.truncate(MOST_FOUND);
+    }
+
     /// The upstream crashed while it ran the request. Returns whether that is news.
     pub fn crashed(&mut self, now: Millis, crash: Crash) -> bool {
         self.mark(now, crash, true)
--- a/crates/core/src/upstream/row.rs
+++ b/crates/core/src/upstream/row.rs
@@ -35,6 +35,10 @@
     pub flying: u32,
     /// Reported requests that were not this router's.
     pub others: u32,
+    /// When that was reported.
+    pub reported: Millis,
+    /// Prompt tokens of this router's attempts that have not begun to be answered.
+    pub unread: u64,
     /// Attempts of this router whose request is marked by an earlier crash.
     pub marked: u32,
     /// Faults.
@@ -45,6 +49,8 @@
     pub change: u64,
 }
 
+/// How long a load that came with an answer counts: about the time that a request waits in a queue.
+const LOAD_MILLIS: Millis = Millis(1_000);
 const ASK_LOST_MILLIS: Millis = Millis(30_000);
 const ASK_GAP_MILLIS: Millis = Millis(1_000);
 const SILENT_GAP_MILLIS: Millis = Millis(2_000);
@@ -61,6 +67,8 @@
             silent: false,
             flying: 0,
             others: 0,
+            reported: now,
+            unread: 0,
             marked: 0,
             breaker: Breaker::default(),
             prefixes: PrefixView::default(),
@@ -82,8 +90,15 @@
         } else {
             self.restart();
         }
+        let load = self.said.load;
         self.said = said;
         self.heard = now;
+        if rules.passive {
+            // Heartbeats carry no load: the last one that came with an answer stays.
+            self.said.load = load;
+            self.silent = false;
+            return true;
+        }
         self.report(now, rules);
         true
     }
@@ -93,12 +108,21 @@
         self.silent = false;
         self.doubt = false;
         self.flying = 0;
+        self.unread = 0;
         self.marked = 0;
         self.breaker = Breaker::default();
         self.prefixes.clear();
     }
 
-    fn report(&mut self, now: Millis, rules: &Rules) {
+    /// Forgets a reported load that is old.
+    pub fn age(&mut self, now: Millis) {
+        if now >= self.reported + LOAD_MILLIS {
+            self.others = 0;
+        }
+    }
+
+    pub fn report(&mut self, now: Millis, rules: &Rules) {
+        self.reported = now;
         let load = self.said.load;
         let reported = load.running.saturating_add(load.waiting);
         self.others = match rules.own {
@@ -141,6 +165,9 @@
 
     /// Whether it is asked before use: it was not heard of lately, or there is reason to doubt it.
     pub fn stale(&self, now: Millis, rules: &Rules) -> bool {
+        if rules.passive {
+            return now >= self.heard + rules.stale;
+        }
         !self.proven || self.doubt || now >= self.heard + rules.stale
     }
 
@@ -160,7 +187,13 @@
         taken || self.flying >= slots || self.breaker.paused(now)
     }
 
-    pub fn usage(&self, now: Millis, rules: &Rules, routers: u32) -> Usage {
+    /// Whether it takes work. `latest` is when any upstream was last heard of: where upstreams can't
+    /// be asked, silence of all of them says nothing of one.
+    pub fn usage(&self, now: Millis, latest: Millis, rules: &Rules, routers: u32) -> Usage {
+        let fresh = match rules.passive {
+            true => latest,
+            false => now,
+        };
         if self.said.phase == Phase::Leaving {
             return Usage::Leaving;
         }
@@ -173,7 +206,7 @@
             Gateway::Trial if self.flying > 0 => return Usage::Ejected { until: now },
             Gateway::Trial | Gateway::Open => {}
         }
-        if self.silent || self.stale(now, rules) {
+        if self.silent || self.stale(fresh, rules) {
             return Usage::Stale;
         }
         match self.full(now, rules, routers) {
--- a/crates/core/src/upstream/rules.rs
+++ b/crates/core/src/upstream/rules.rs
@@ -46,6 +46,15 @@
     pub copies: usize,
     /// How announcements are ordered.
     pub order: Order,
+    /// Whether upstreams are known by their heartbeats alone: they can't be asked, start numbers are
+    /// the times of the starts, and the later start at an address owns it.
+    pub passive: bool,
+    /// Upstreams that break off a request before it is quarantined, where they can't be asked.
+    pub breaks: usize,
+    /// Prompt tokens that an upstream reads in a millisecond, for the choice by expected wait.
+    pub reads: u64,
+    /// Milliseconds by which each request in flight delays the next, for the choice by expected wait.
+    pub turn: u64,
 }
 
 /// How announcements of one upstream are ordered.
@@ -84,6 +93,10 @@
             full: 64,
             copies: 3,
             order: Order::Total,
+            passive: false,
+            breaks: 3,
+            reads: 40,
+            turn: 20,
         }
     }
 }
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -15,6 +15,7 @@
 
 use super::announce::Announcement;
 use super::announce::Kind;
+use super::announce::Load;
 use super::announce::Phase;
 use super::candidate::usable;
 use super::choice::View;
@@ -41,6 +42,11 @@
     pub priority: u8,
     /// Hashes of the prompt's prefixes, shortest first; empty for plain services.
     pub prefixes: Vec<u64>,
+    /// Tokens by which each prefix is longer than the one before. With it, the choice is by the
+    /// expected wait; without, by load and cached share.
+    pub sizes: Vec<u64>,
+    /// Number of the prefix, from zero, by which all routers agree on an upstream without a word.
+    pub home: Option<usize>,
     /// Body, for the crash quarantine.
     pub body: Fingerprint,
     /// Upstreams already tried.
@@ -119,6 +125,8 @@
     keepers: Keepers,
     routers: u32,
     change: u64,
+    /// When any upstream was last heard of.
+    latest: Millis,
 }
 
 #[derive(Clone, Debug)]
@@ -127,9 +135,15 @@
     incarnation: Incarnation,
     body: Fingerprint,
     marked: bool,
+    /// Prompt tokens to be read before the answer begins.
+    unread: u64,
 }
 
 const MOST_PROBES: usize = 32;
+
+/// How late a heartbeat arrives at most, as a rule: a later one shows that its sender did not crash
+/// before.
+const LATE_MILLIS: Millis = Millis(2_000);
 const MOST_EVENTS: usize = 256;
 
 impl Default for Table {
@@ -158,6 +172,7 @@
             keepers: Keepers::default(),
             routers: 0,
             change: 0,
+            latest: Millis::ZERO,
         }
     }
 
@@ -173,13 +188,21 @@
         let upstream = said.upstream.clone();
         let incarnation = said.incarnation;
         let known = self.rows.get(&upstream).map(|row| row.said.incarnation);
+        let is_leaving = said.phase == Phase::Leaving;
+        let address = said.address;
         if !self.store(now, said) {
             return false;
         }
+        self.latest = self.latest.max(now);
+        self.take_over(address);
         self.change += 1;
         if let Some(row) = self.rows.get_mut(&upstream) {
             row.change = self.change;
         }
+        if self.rules.passive && known == Some(incarnation) && !is_leaving {
+            let sent = now.saturating_sub(LATE_MILLIS);
+            self.quarantine.alive(&upstream, incarnation, sent);
+        }
         if known != Some(incarnation)
             && let Some(last) = incarnation.0.checked_sub(1)
         {
@@ -188,6 +211,46 @@
         true
     }
 
+    /// Where an address has changed hands, only the latest start at it is still there.
+    fn take_over(&mut self, address: SocketAddr) {
+        if !self.rules.passive {
+            return;
+        }
+        let here = |row: &&mut Row| row.said.address == address;
+        let latest = self.rows.values().filter(|row| row.said.address == address);
+        let Some(latest) = latest.map(|row| row.said.incarnation).max() else {
+            return;
+        };
+        for row in self.rows.values_mut().filter(here) {
+            if row.said.incarnation < latest {
+                row.said.phase = Phase::Leaving;
+            }
+        }
+    }
+
+    /// Takes in the load that an upstream gave with an answer.
+    pub fn load(&mut self, now: Millis, upstream: &Upstream, incarnation: Incarnation, load: Load) {
+        if let Some(row) = self.rows.get_mut(upstream)
+            && row.said.incarnation == incarnation
+        {
+            row.said.load = load;
+            row.report(now, &self.rules);
+        }
+    }
+
+    /// The answer to an attempt has begun: its prompt is read.
+    pub fn begun(&mut self, attempt: Attempt) {
+        let Some(flight) = self.flights.get_mut(&attempt) else {
+            return;
+        };
+        let read = std::mem::take(&mut flight.unread);
+        if let Some(row) = self.rows.get_mut(&flight.upstream)
+            && row.said.incarnation == flight.incarnation
+        {
+            row.unread = row.unread.saturating_sub(read);
+        }
+    }
+
     fn store(&mut self, now: Millis, said: Announcement) -> bool {
         if let Some(row) = self.rows.get_mut(&said.upstream) {
             return row.observe(now, said, &self.rules);
@@ -226,13 +289,15 @@
             wanted,
             routers: self.routers,
             marked,
+            latest: self.latest,
         };
         let (rows, ask) = usable(&self.rows, &view)?;
         let index = view
             .choose(&rows, &mut self.rng)
             .ok_or(Absent::NoneUsable)?;
         let upstream = rows[index].said.upstream.clone();
-        self.take(now, upstream, wanted, marked, ask)
+        let unread = view.unread(rows[index]);
+        self.take(now, upstream, wanted, marked, ask, unread)
             .ok_or(Absent::NoneUsable)
     }
 
@@ -244,6 +309,14 @@
 
     /// Whether the request is marked by an earlier crash.
     fn admit(&self, now: Millis, body: &Fingerprint) -> Result<bool, Absent> {
+        if self.rules.passive {
+            let (breaks, last) = self.quarantine.breaks(body);
+            let until = last + self.rules.quarantine;
+            return match breaks >= self.rules.breaks && now < until {
+                true => Err(Absent::Quarantined { until }),
+                false => Ok(breaks > 0),
+            };
+        }
         match self.quarantine.suspicion(body, self.rules.quarantine) {
             Suspicion::Clear => Ok(false),
             Suspicion::Marked => Ok(true),
@@ -261,9 +334,11 @@
         wanted: &Wanted,
         marked: bool,
         ask: bool,
+        unread: u64,
     ) -> Option<Pick> {
         let row = self.rows.get_mut(&upstream)?;
         row.flying += 1;
+        row.unread += unread;
         row.marked += u32::from(marked);
         row.prefixes.routed(now, &wanted.prefixes, &self.rules);
         if ask {
@@ -275,6 +350,7 @@
             incarnation: row.said.incarnation,
             body: wanted.body,
             marked,
+            unread,
         };
         self.flights.insert(self.last, flight);
         Some(Pick {
@@ -299,6 +375,7 @@
             return;
         }
         row.flying = row.flying.saturating_sub(1);
+        row.unread = row.unread.saturating_sub(flight.unread);
         row.marked = row.marked.saturating_sub(u32::from(flight.marked));
         match ended {
             Ended::Whole => row.worked(now),
@@ -306,6 +383,10 @@
             Ended::Unreachable | Ended::Broken => {
                 row.doubt = true;
                 row.breaker.fault(now, &self.rules);
+                if ended == Ended::Unreachable && self.rules.passive {
+                    row.silent = true;
+                    row.last = Some(now);
+                }
             }
             Ended::Late => {
                 row.breaker.late(now, &self.rules);
@@ -323,6 +404,7 @@
         };
         match ended {
             Ended::Whole => self.quarantine.acquit(&flight.body),
+            Ended::Broken if self.rules.passive => self.quarantine.find(now, crash),
             Ended::Broken => {
                 self.quarantine.broke(now, crash);
                 if self.replaced(&flight.upstream, flight.incarnation) {
@@ -426,6 +508,9 @@
     /// Lets time pass: drops what has expired. Due about every second.
     pub fn tick(&mut self, now: Millis) {
         let forget = self.rules.forget;
+        if self.rules.passive {
+            self.rows.values_mut().for_each(|row| row.age(now));
+        }
         self.rows
             .retain(|_, row| now < row.heard + forget || row.flying > 0);
         self.quarantine.expire(now, self.rules.quarantine);
@@ -437,7 +522,7 @@
             upstream: row.said.upstream.clone(),
             incarnation: row.said.incarnation,
             centre: row.said.centre.clone(),
-            usage: row.usage(now, &self.rules, self.routers),
+            usage: row.usage(now, self.latest, &self.rules, self.routers),
             flying: row.flying,
             load: row.said.load,
             slots: row.said.slots,
--- a/crates/core/tests/upstream_quarantine.rs
+++ b/crates/core/tests/upstream_quarantine.rs
@@ -42,6 +42,8 @@
 
 fn wanted(body: &str) -> Wanted {
     Wanted {
+        sizes: Vec::new(),
+        home: None,
         kind: Kind::Service(Service::from("desk")),
         priority: 0,
         prefixes: Vec::new(),
--- a/crates/core/tests/upstream_random.rs
+++ b/crates/core/tests/upstream_random.rs
@@ -151,6 +151,8 @@
 
     fn choose(&mut self, body: u8) -> bool {
         let wanted = Wanted {
+            sizes: Vec::new(),
+            home: None,
             kind: Kind::Service(Service::from("desk")),
             priority: 0,
             prefixes: vec![u64::from(body)],
--- a/crates/core/tests/upstream_table.rs
+++ b/crates/core/tests/upstream_table.rs
@@ -55,6 +55,8 @@
 
 fn wanted() -> Wanted {
     Wanted {
+        sizes: Vec::new(),
+        home: None,
         kind: Kind::Model(Model::from("chat"), None),
         priority: 0,
         prefixes: Vec::new(),
--- a/crates/fleet/benches/control.rs
+++ b/crates/fleet/benches/control.rs
@@ -98,6 +98,8 @@
 fn choices(c: &mut Criterion) {
     let mut group = c.benchmark_group("choice and its end, by upstreams");
     let wanted = Wanted {
+        sizes: Vec::new(),
+        home: None,
         kind: Kind::Model("model-00".into(), None),
         priority: 0,
         prefixes: (0..8).collect(),
--- a/crates/fleet/examples/capacity/router.rs
+++ b/crates/fleet/examples/capacity/router.rs
@@ -43,6 +43,8 @@
         })?;
         meter.time("choice and its end", size, CALLS, |n| {
             let wanted = Wanted {
+                sizes: Vec::new(),
+                home: None,
                 kind: Kind::Model("model-00".into(), None),
                 priority: 0,
                 prefixes: (0..8).map(|at| (n % 100 * 8 + at) as u64).collect(),
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -3,19 +3,25 @@
 use std::future::Future;
 use std::net::SocketAddr;
 
+use chestnutnotch_core::id::Host;
 use chestnutnotch_core::id::Operator;
 use chestnutnotch_wire::proto::control_server::ControlServer as ControlRpc;
+use ractor::ActorRef;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 
 use crate::controllers::replica;
+use crate::controllers::replica::ReplicaHandle;
 use crate::controllers::spool::SpoolActor;
 use crate::controllers::spool::SpoolArgs;
+use crate::controllers::spool::SpoolMessage;
 use crate::edges::rpc::ControlClient;
 use crate::edges::rpc::ControlServer;
 use crate::edges::rpc::MESSAGE_BYTES;
+use crate::edges::rpc::node::NodeService;
+use crate::edges::rpc::peer::PeerService;
 use crate::settings::ReplicaSettings;
 use crate::settings::Settings;
 use crate::timer::Timer;
@@ -77,42 +83,103 @@
     timer: Timer,
     stop: impl Future<Output = ()> + Send,
 ) -> Result<(), ServeError> {
-    let own: ReplicaSettings = settings.replica.clone().ok_or(ServeError::NoReplica)?;
-    let (handle, peers) = replica::start(&own, &settings.control, &timer).await?;
-    let name = format!("control {}", settings.host.name);
-    let client = ControlClient::new(settings.control, Operator::from(name));
-    let args = SpoolArgs {
-        folder: own.data,
-        replica: handle.clone(),
-        client,
-        timer: timer.clone(),
-    };
-    let spool = SpoolActor::start(args).await?;
-    let control = ControlServer::new(handle.clone(), spool.clone(), timer);
-    let control = ControlRpc::new(control)
-        .max_decoding_message_size(MESSAGE_BYTES)
-        .max_encoding_message_size(MESSAGE_BYTES);
-    log::info!(
-        "control process {} listens on {}",
-        settings.host.name,
-        own.listen
-    );
-    // The replica stops first: that ends the streams of those who follow the configuration, which
-    // the server would otherwise wait for.
-    let ended = async {
-        tokio::select! {
-            () = stop => {}
-            () = handle.stopped() => log::error!("the replica has stopped by itself"),
-        }
-        handle.stop().await;
-    };
-    Server::builder()
-        .tcp_nodelay(true)
-        .add_service(control)
-        .add_service(peers.into_server())
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), ended)
-        .await?;
-    spool.stop(None);
-    log::info!("control process {} has stopped", settings.host.name);
-    Ok(())
+    Control::start(settings, listener, timer)
+        .await?
+        .run(None, stop)
+        .await
+}
+
+/// A control process that has opened its data folder.
+pub struct Control {
+    host: Host,
+    replica: ReplicaHandle,
+    peers: PeerService,
+    spool: ActorRef<SpoolMessage>,
+    client: ControlClient,
+    listener: TcpListener,
+    timer: Timer,
+}
+
+impl Control {
+    /// Starts the replica and the spool.
+    ///
+    /// # Errors
+    ///
+    /// See [`ServeError`].
+    pub async fn start(
+        settings: Settings,
+        listener: TcpListener,
+        timer: Timer,
+    ) -> Result<Self, ServeError> {
+        let own: ReplicaSettings = settings.replica.clone().ok_or(ServeError::NoReplica)?;
+        let (replica, peers) = replica::start(&own, &settings.control, &timer).await?;
+        let name = format!("control {}", settings.host.name);
+        let client = ControlClient::new(settings.control, Operator::from(name));
+        let args = SpoolArgs {
+            folder: own.data,
+            replica: replica.clone(),
+            client: client.clone(),
+            timer: timer.clone(),
+        };
+        log::info!(
+            "control process {} listens on {}",
+            settings.host.name,
+            own.listen
+        );
+        Ok(Self {
+            host: settings.host.name,
+            replica,
+            peers,
+            spool: SpoolActor::start(args).await?,
+            client,
+            listener,
+            timer,
+        })
+    }
+
+    /// The replica.
+    pub fn replica(&self) -> &ReplicaHandle {
+        &self.replica
+    }
+
+    /// The client by which this process reaches the replicas.
+    pub fn client(&self) -> &ControlClient {
+        &self.client
+    }
+
+    /// Serves until `stop` resolves. `node` is served on the same address.
+    ///
+    /// # Errors
+    ///
+    /// See [`ServeError`].
+    pub async fn run(
+        self,
+        node: Option<NodeService>,
+        stop: impl Future<Output = ()> + Send,
+    ) -> Result<(), ServeError> {
+        let replica = self.replica;
+        let control = ControlServer::new(replica.clone(), self.spool.clone(), self.timer);
+        let control = ControlRpc::new(control)
+            .max_decoding_message_size(MESSAGE_BYTES)
+            .max_encoding_message_size(MESSAGE_BYTES);
+        // The replica stops first: that ends the streams of those who follow the configuration,
+        // which the server would otherwise wait for.
+        let ended = async {
+            tokio::select! {
+                () = stop => {}
+                () = replica.stopped() => log::error!("the replica has stopped by itself"),
+            }
+            replica.stop().await;
+        };
+        Server::builder()
+            .tcp_nodelay(true)
+            .add_service(control)
+            .add_service(self.peers.into_server())
+            .add_optional_service(node.map(NodeService::into_server))
+            .serve_with_incoming_shutdown(TcpListenerStream::new(self.listener), ended)
+            .await?;
+        self.spool.stop(None);
+        log::info!("control process {} has stopped", self.host);
+        Ok(())
+    }
 }
--- a/crates/fleet/src/controllers/allotment.rs
+++ b/crates/fleet/src/controllers/allotment.rs
@@ -41,6 +41,9 @@
 const DRAW_WITHIN: Duration = Duration::from_millis(500);
 const LEAVE_WITHIN: Duration = Duration::from_secs(3);
 const WAIT: Millis = Millis(3_000);
+
+/// At most one in so many of the free tokens is given to another router at a time.
+const GIVE_PART: u64 = 2;
 const FIRST_PAUSE: Duration = Duration::from_millis(4);
 const MOST_PAUSE: Duration = Duration::from_millis(200);
 
@@ -167,6 +170,28 @@
         self.purse().settle(held, used, wasted);
     }
 
+    /// Ends a reservation of a request that is charged with others in sum, not by a bill.
+    pub fn spend(&self, held: Reservation, spent: Tokens) {
+        self.metrics.tokens.add_many("spent", spent.0);
+        self.purse().release(held, spent);
+    }
+
+    /// Gives a part of the free tokens of a budget away for good; nothing if it can't be spared.
+    pub fn give(&self, budget: &Budget, amount: Tokens) -> Tokens {
+        let now = self.timer.now();
+        let mut purse = self.purse();
+        if purse.free(budget).0 / GIVE_PART < amount.0 {
+            return Tokens::ZERO;
+        }
+        match purse.reserve(now, budget, amount) {
+            Ok(held) => {
+                purse.release(held, amount);
+                amount
+            }
+            Err(_) => Tokens::ZERO,
+        }
+    }
+
     /// See [`Purse::release`].
     pub fn release(&self, held: Reservation, wasted: Tokens) {
         self.metrics.tokens.add_many("wasted", wasted.0);
--- a/crates/fleet/src/controllers/config.rs
+++ b/crates/fleet/src/controllers/config.rs
@@ -18,46 +18,37 @@
 use ractor::ActorProcessingErr;
 use ractor::ActorRef;
 use ractor::SpawnErr;
-use sha2::Digest;
-use sha2::Sha256;
-use subtle::ConstantTimeEq;
 use tokio::sync::watch;
 
 use crate::controllers::ticks;
 use crate::edges::rpc::ControlClient;
+use crate::keys;
+use crate::keys::KeyIndex;
 use crate::metrics::Metrics;
 use crate::settings::HostSettings;
 use crate::timer::Timer;
 
 const REPORT_PERIOD: Duration = Duration::from_secs(1);
 const REPORT_WITHIN: Duration = Duration::from_millis(800);
-const HASH_BYTES: usize = 32;
 
 /// A configuration with indexes over it.
 #[derive(Debug)]
 pub struct InForce {
     accepted: Arc<Accepted>,
-    keys: Map<u64, Vec<KeyRow>>,
+    keys: KeyIndex,
     workspaces: Map<Workspace, usize>,
     models: Map<Model, usize>,
     services: Map<Service, usize>,
 }
 
-#[derive(Debug)]
-struct KeyRow {
-    hash: [u8; HASH_BYTES],
-    workspace: usize,
-}
-
 impl InForce {
     /// Indexes a configuration. Key hashes that are not 64 hexadecimal digits admit nobody.
     pub fn new(accepted: Arc<Accepted>) -> Self {
         let document = &accepted.document;
-        let mut keys: Map<u64, Vec<KeyRow>> = Map::default();
+        let mut index = KeyIndex::default();
         for (workspace, spec) in document.workspaces.iter().enumerate() {
-            for hash in spec.keys.iter().filter_map(|key| decode(key)) {
-                let row = KeyRow { hash, workspace };
-                keys.entry(slot(&hash)).or_default().push(row);
+            for hash in spec.keys.iter().filter_map(|key| keys::decode(key)) {
+                index.insert(hash, workspace);
             }
         }
         let workspaces = document.workspaces.iter().enumerate();
@@ -68,7 +59,7 @@
         let services = services.map(|(i, spec)| (spec.name.clone(), i)).collect();
         Self {
             accepted,
-            keys,
+            keys: index,
             workspaces,
             models,
             services,
@@ -80,13 +71,10 @@
         self.accepted.revision
     }
 
-    /// The workspace that a bearer key belongs to. Hashes are compared in constant time; the index
-    /// shows at most a part of the hash of a guess, never of a stored key.
+    /// The workspace that a bearer key belongs to.
     pub fn workspace(&self, key: &str) -> Option<&WorkspaceSpec> {
-        let hash: [u8; HASH_BYTES] = Sha256::digest(key.as_bytes()).into();
-        let rows = self.keys.get(&slot(&hash))?;
-        let row = rows.iter().find(|row| row.hash.ct_eq(&hash).into())?;
-        self.accepted.document.workspaces.get(row.workspace)
+        let workspace = self.keys.find(key)?;
+        self.accepted.document.workspaces.get(workspace)
     }
 
     /// A model, if the workspace may use it.
@@ -115,26 +103,6 @@
     }
 }
 
-fn slot(hash: &[u8; HASH_BYTES]) -> u64 {
-    let mut first = [0; 8];
-    first.copy_from_slice(&hash[..8]);
-    u64::from_le_bytes(first)
-}
-
-fn decode(hex: &str) -> Option<[u8; HASH_BYTES]> {
-    let digits = hex.as_bytes();
-    if digits.len() != 2 * HASH_BYTES {
-        return None;
-    }
-    let mut hash = [0; HASH_BYTES];
-    for (byte, pair) in hash.iter_mut().zip(digits.chunks_exact(2)) {
-        let high = char::from(pair[0]).to_digit(16)?;
-        let low = char::from(pair[1]).to_digit(16)?;
-        *byte = (high << 4 | low) as u8;
-    }
-    Some(hash)
-}
-
 /// A handle on the configuration in force. Cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Config {
--- a/crates/fleet/src/controllers/replica/actor.rs
+++ b/crates/fleet/src/controllers/replica/actor.rs
@@ -16,6 +16,7 @@
 use chestnutnotch_core::replica::Input;
 use chestnutnotch_core::replica::Replica;
 use chestnutnotch_core::replica::Round;
+use chestnutnotch_core::route::Held;
 use chestnutnotch_core::unit::Index;
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::unit::Term;
@@ -38,6 +39,7 @@
 use crate::edges::rpc::peer::Inbound;
 use crate::edges::rpc::peer::Links;
 use crate::edges::rpc::peer::Switch;
+use crate::settings::DiscoverySettings;
 use crate::timer::Timer;
 
 /// Longest time that a stopping leader waits for its successor.
@@ -77,6 +79,8 @@
     Encoded(Index, Result<Arc<[u8]>, ApplyError>),
     /// Peers answered a round of greetings.
     Greeted(Round),
+    /// Other replicas were found at these addresses.
+    Peers(Vec<SocketAddr>),
     /// The process stops.
     Stop,
 }
@@ -91,7 +95,11 @@
     pub applied: Applied,
     /// Where accepted configurations go.
     pub publish: watch::Sender<Arc<Accepted>>,
-    /// Addresses of all replicas.
+    /// Where the pass-through routes go.
+    pub plans: watch::Sender<Held>,
+    /// Whether replicas find each other.
+    pub discovery: Option<DiscoverySettings>,
+    /// Addresses of all replicas, or of the founders where replicas find each other.
     pub peers: Vec<SocketAddr>,
     /// Own address.
     pub address: SocketAddr,
@@ -113,6 +121,7 @@
     pub(super) writer: Writer,
     pub(super) applied: Applied,
     pub(super) publish: watch::Sender<Arc<Accepted>>,
+    pub(super) plans: watch::Sender<Held>,
     pub(super) queue: Vec<(Proposal, OwnedSemaphorePermit)>,
     pub(super) proposed: BTreeMap<Index, Proposed>,
     pub(super) reads: Map<u64, (View, OwnedSemaphorePermit)>,
@@ -122,6 +131,8 @@
     pub(super) links: Links,
     pub(super) founding: Founding,
     pub(super) greeting: Greeting,
+    pub(super) discovery: Option<DiscoverySettings>,
+    pub(super) founders: Vec<SocketAddr>,
     pub(super) peers: Vec<SocketAddr>,
     pub(super) address: SocketAddr,
     pub(super) compact: u64,
@@ -182,6 +193,9 @@
             stamp: arguments.applied.stamp,
             applied: arguments.applied,
             publish: arguments.publish,
+            plans: arguments.plans,
+            discovery: arguments.discovery,
+            founders: arguments.peers.clone(),
             queue: Vec::new(),
             proposed: BTreeMap::new(),
             reads: Map::default(),
@@ -220,6 +234,7 @@
             ReplicaMessage::Wrote(result) => self.wrote(result),
             ReplicaMessage::Encoded(index, result) => self.encoded(index, result),
             ReplicaMessage::Greeted(round) => self.greeted(&round),
+            ReplicaMessage::Peers(peers) => self.meet(peers),
             ReplicaMessage::Stop => self.stop(),
         }
     }
--- a/crates/fleet/src/controllers/replica/carry.rs
+++ b/crates/fleet/src/controllers/replica/carry.rs
@@ -92,7 +92,7 @@
         let given = member.map(|member| member.address);
         self.founding
             .address(id)
-            .or_else(|| given.filter(|address| self.peers.contains(address)))
+            .or_else(|| given.filter(|at| self.discovery.is_some() || self.peers.contains(at)))
     }
 
     pub(super) fn apply_to(&mut self, index: Index) {
@@ -134,6 +134,14 @@
             }
             newer
         });
+        let plan = self.applied.machine.plan();
+        self.plans.send_if_modified(|held| {
+            let newer = plan.version > held.version;
+            if newer {
+                *held = plan.clone();
+            }
+            newer
+        });
     }
 
     pub(super) fn write(&mut self) {
--- a/crates/fleet/src/controllers/replica/handle.rs
+++ b/crates/fleet/src/controllers/replica/handle.rs
@@ -9,6 +9,7 @@
 use chestnutnotch_core::id::Operator;
 use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::machine::Machine;
+use chestnutnotch_core::route::Held;
 use chestnutnotch_core::unit::Index;
 use chestnutnotch_core::unit::Term;
 use ractor::ActorRef;
@@ -47,6 +48,7 @@
     pub(super) actor: ActorRef<ReplicaMessage>,
     pub(super) permits: Arc<Semaphore>,
     pub(super) accepted: watch::Receiver<Arc<Accepted>>,
+    pub(super) plan: watch::Receiver<Held>,
 }
 
 impl ReplicaHandle {
@@ -104,6 +106,17 @@
         self.accepted.clone()
     }
 
+    /// The pass-through routes as this replica has applied them; may be old.
+    pub fn plan(&self) -> watch::Receiver<Held> {
+        self.plan.clone()
+    }
+
+    /// Names the addresses at which other replicas were found.
+    pub fn meet(&self, peers: Vec<SocketAddr>) {
+        // A stopped replica meets nobody.
+        let _ = self.actor.send_message(ReplicaMessage::Peers(peers));
+    }
+
     /// What `status` shows.
     ///
     /// # Errors
--- a/crates/fleet/src/controllers/replica/meet.rs
+++ b/crates/fleet/src/controllers/replica/meet.rs
@@ -1,5 +1,7 @@
 //! Greetings between replicas.
 
+use std::net::SocketAddr;
+
 use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::replica::Hello;
 use chestnutnotch_core::replica::Input;
@@ -19,25 +21,47 @@
         Hello {
             id: self.replica.node().id(),
             blank: self.replica.node().blank(),
-            joins: self.replica.node().outside(),
+            joins: self.seeks(),
             address: self.address,
         }
     }
 
+    /// Whether this replica asks to be taken into the group. Where replicas find each other, one
+    /// that hears no leader may have been replaced without knowing.
+    fn seeks(&self) -> bool {
+        let node = self.replica.node();
+        node.outside() || (self.discovery.is_some() && !node.hears())
+    }
+
     /// A group of one is founded at once.
     pub(super) fn found_alone(&mut self) {
         let own = self.replica.node().id();
-        if self.peers.len() <= 1 && self.replica.node().blank() {
+        if self.peers.len() <= 1 && self.replica.node().blank() && self.may_found() {
             self.step(Input::Found(Members::founders([(own, self.address)])));
         }
     }
 
+    /// Takes in where other replicas were found. The founders stay: founding needs all of them.
+    pub(super) fn meet(&mut self, found: Vec<SocketAddr>) {
+        self.peers = self.founders.clone();
+        for peer in found {
+            if !self.peers.contains(&peer) {
+                self.peers.push(peer);
+            }
+        }
+    }
+
+    fn may_found(&self) -> bool {
+        let founder = self.founders.contains(&self.address);
+        self.discovery.is_none_or(|own| own.founds && founder)
+    }
+
     /// Greets the peers while this replica is outside the group, or cannot reach a member.
     pub(super) fn greet(&mut self) {
         let node = self.replica.node();
         let own = node.id();
         let lost = |id: &ReplicaId| *id != own && self.address_of(*id).is_none();
-        let needed = node.outside() || node.members().0.keys().any(lost);
+        let needed = self.seeks() || node.members().0.keys().any(lost);
         let now = self.timer.now();
         if !needed || self.greeting.running || now < self.greeting.next {
             return;
@@ -61,7 +85,10 @@
 
     pub(super) fn greeted(&mut self, round: &Round) {
         let own = self.replica.node().id();
-        let members = self.founding.observe(own, round);
+        let founders = round.iter().filter(|(at, _)| self.founders.contains(at));
+        let founders: Round = founders.copied().collect();
+        let members = self.founding.observe(own, &founders);
+        self.founding.note(round);
         let complete = round.iter().all(|(_, hello)| hello.is_some());
         self.greeting.running = false;
         self.greeting.pause = if complete {
@@ -73,6 +100,7 @@
         let jitter = crate::timer::jitter(pause).as_millis() as u64;
         self.greeting.next = self.timer.now() + Millis(self.greeting.pause / 2 + jitter);
         if let Some(members) = members
+            && self.may_found()
             && self.replica.node().blank()
         {
             log::info!("replica {own} founds a group of {}", members.0.len());
--- a/crates/fleet/src/controllers/replica/start.rs
+++ b/crates/fleet/src/controllers/replica/start.rs
@@ -73,13 +73,17 @@
         election: Millis(settings.election),
         heartbeat: Millis(settings.heartbeat),
     };
-    let replica = Replica::new(folder.id(), durable, timing, seed, timer.now());
+    let seats = settings.discovery.map(|discovery| discovery.seats);
+    let replica = Replica::new(folder.id(), durable, timing, seed, timer.now()).seated(seats);
     let (publish, accepted) = watch::channel(Arc::new(applied.machine.accepted().clone()));
+    let (plans, plan) = watch::channel(applied.machine.plan().clone());
     let arguments = Arguments {
         replica,
         folder,
         applied,
         publish,
+        plans,
+        discovery: settings.discovery,
         peers: peers.to_vec(),
         address: settings.listen,
         compact: settings.snapshot,
@@ -95,6 +99,7 @@
         actor,
         permits: Arc::new(Semaphore::new(WAITING)),
         accepted,
+        plan,
     };
     Ok((handle, PeerService::new(tx)))
 }
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -19,6 +19,7 @@
 use chestnutnotch_core::upstream::Attempt;
 use chestnutnotch_core::upstream::Crash;
 use chestnutnotch_core::upstream::Ended;
+use chestnutnotch_core::upstream::Load;
 use chestnutnotch_core::upstream::Phase;
 use chestnutnotch_core::upstream::Pick;
 use chestnutnotch_core::upstream::Pool;
@@ -79,7 +80,19 @@
         timer: Timer,
         metrics: Arc<Metrics>,
     ) -> Self {
-        let table = Table::with(centre, Rules::default(), rand::random());
+        Self::with(centre, Rules::default(), routers, client, timer, metrics)
+    }
+
+    /// Like [`Upstreams::new`], with settings of the table.
+    pub fn with(
+        centre: DataCentre,
+        rules: Rules,
+        routers: u32,
+        client: HttpClient,
+        timer: Timer,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        let table = Table::with(centre, rules, rand::random());
         Self {
             table: Arc::new(Mutex::new(table)),
             client,
@@ -111,6 +124,18 @@
         news
     }
 
+    /// Takes in the load that an upstream gave with an answer.
+    pub fn load(&self, pick: &Pick, load: Load) {
+        let now = self.timer.now();
+        self.table()
+            .load(now, &pick.upstream, pick.incarnation, load);
+    }
+
+    /// The answer to an attempt has begun.
+    pub fn begun(&self, attempt: Attempt) {
+        self.table().begun(attempt);
+    }
+
     /// Chooses an upstream and counts the attempt.
     ///
     /// # Errors
--- a/crates/fleet/src/edges/mod.rs
+++ b/crates/fleet/src/edges/mod.rs
@@ -2,5 +2,6 @@
 //! alone.
 
 pub mod disk;
+pub mod gossip;
 pub mod http;
 pub mod rpc;
--- a/crates/fleet/src/edges/rpc/client.rs
+++ b/crates/fleet/src/edges/rpc/client.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use chestnutnotch_core::command::Bill;
@@ -12,6 +13,7 @@
 use chestnutnotch_core::config::Accepted;
 use chestnutnotch_core::id::Operator;
 use chestnutnotch_core::id::RequestId;
+use chestnutnotch_core::route::Held;
 use chestnutnotch_wire::WireError;
 use chestnutnotch_wire::proto;
 use chestnutnotch_wire::proto::control_client::ControlClient as Rpc;
@@ -60,20 +62,33 @@
 /// Client of the control replicas. Cheap to clone; clones share connections.
 #[derive(Clone, Debug)]
 pub struct ControlClient {
-    pub(super) replicas: Arc<[Replica]>,
+    replicas: Arc<Mutex<Replicas>>,
     operator: Operator,
-    /// Index of the replica that led last.
-    leader: Arc<AtomicUsize>,
+}
+
+/// The replicas that are known.
+#[derive(Debug, Default)]
+struct Replicas {
+    all: Vec<Arc<Replica>>,
+    /// Index of the one that led last.
+    leader: usize,
 }
 
 #[derive(Debug)]
 pub(super) struct Replica {
     pub(super) address: SocketAddr,
-    channel: Channel,
+    channel: Mutex<Channel>,
 }
 
 impl Replica {
     fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            channel: Mutex::new(Self::connect(address)),
+        }
+    }
+
+    fn connect(address: SocketAddr) -> Channel {
         // An address with a scheme in front is always a valid URI, so no error can come of it.
         let uri = http::Uri::builder()
             .scheme("http")
@@ -81,15 +96,23 @@
             .path_and_query("/")
             .build()
             .unwrap_or_default();
-        let channel = Endpoint::from(uri)
+        Endpoint::from(uri)
             .connect_timeout(CONNECT_TIME)
             .tcp_nodelay(true)
-            .connect_lazy();
-        Self { address, channel }
+            .connect_lazy()
+    }
+
+    /// Gives the connection up: it may have gone silent for good.
+    pub(super) fn renew(&self) {
+        *self.channel() = Self::connect(self.address);
+    }
+
+    fn channel(&self) -> MutexGuard<'_, Channel> {
+        self.channel.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(super) fn rpc(&self) -> Rpc<Channel> {
-        Rpc::new(self.channel.clone())
+        Rpc::new(self.channel().clone())
             .max_decoding_message_size(MESSAGE_BYTES)
             .max_encoding_message_size(MESSAGE_BYTES)
     }
@@ -106,11 +129,43 @@
     /// A client of the replicas at these addresses. Connects when first used.
     pub fn new(replicas: impl Into<Arc<[SocketAddr]>>, operator: Operator) -> Self {
         let replicas: Arc<[SocketAddr]> = replicas.into();
-        Self {
-            replicas: replicas.iter().copied().map(Replica::new).collect(),
+        let client = Self {
+            replicas: Arc::default(),
             operator,
-            leader: Arc::default(),
-        }
+        };
+        client.meet(&replicas);
+        client
+    }
+
+    /// Names the replicas there are now. Connections to those that were known stay.
+    pub fn meet(&self, addresses: &[SocketAddr]) {
+        let mut known = self.lock();
+        let led = known.all.get(known.leader).map(|replica| replica.address);
+        let find = |address: &SocketAddr| {
+            let mut all = known.all.iter();
+            let known = all.find(|replica| replica.address == *address);
+            known.map_or_else(|| Arc::new(Replica::new(*address)), Arc::clone)
+        };
+        let all: Vec<Arc<Replica>> = addresses.iter().map(find).collect();
+        let leader = all.iter().position(|replica| Some(replica.address) == led);
+        known.leader = leader.unwrap_or(0);
+        known.all = all;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Replicas> {
+        self.replicas.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The replicas known now.
+    pub(super) fn replicas(&self) -> Vec<Arc<Replica>> {
+        self.lock().all.clone()
+    }
+
+    /// The replica with a number that is counted round; none if no replica is known.
+    pub(super) fn replica(&self, number: usize) -> Option<Arc<Replica>> {
+        let known = self.lock();
+        let count = known.all.len().max(1);
+        known.all.get(number % count).map(Arc::clone)
     }
 
     /// Has a command agreed on, resending to whoever leads until `within` is over.
@@ -143,8 +198,8 @@
             bills: bills.into_iter().map(Into::into).collect(),
         };
         let mut closed = false;
-        let calls: FuturesUnordered<_> = self
-            .replicas
+        let replicas = self.replicas();
+        let calls: FuturesUnordered<_> = replicas
             .iter()
             .map(|replica| {
                 let mut rpc = replica.rpc();
@@ -283,6 +338,23 @@
         .map(|(_, reply)| reply.rows)
     }
 
+    /// The pass-through routes that a quorum confirms; without the document unless their version is
+    /// higher than `held`.
+    ///
+    /// # Errors
+    ///
+    /// [`ControlError::NoQuorum`].
+    pub async fn plan(&self, held: u64, within: Duration) -> Result<Held, ControlError> {
+        self.on_leader(within, |mut rpc| async move {
+            leading(rpc.plan(proto::PlanRequest { version: held }).await)
+        })
+        .await
+        .map(|(_, reply)| Held {
+            version: reply.version,
+            source: reply.source.into(),
+        })
+    }
+
     /// What each replica that answers in time says of itself.
     pub async fn status(&self, within: Duration) -> Vec<(SocketAddr, proto::StatusReply)> {
         self.each_replica(within, |mut rpc| async move {
@@ -293,14 +365,15 @@
 
     /// Index of the replica to ask first.
     pub(super) fn first(&self) -> usize {
-        self.leader.load(Ordering::Relaxed) % self.replicas.len().max(1)
+        self.lock().leader
     }
 
     /// Remembers who leads.
     pub(super) fn led_by(&self, leader: Option<SocketAddr>) -> Option<usize> {
         let leader = leader?;
-        let index = self.replicas.iter().position(|one| one.address == leader)?;
-        self.leader.store(index, Ordering::Relaxed);
+        let mut known = self.lock();
+        let index = known.all.iter().position(|one| one.address == leader)?;
+        known.leader = index;
         Some(index)
     }
 
@@ -315,21 +388,25 @@
         let deadline = Instant::now() + within;
         let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
         let mut index = self.first();
-        while let Some(replica) = self.replicas.get(index) {
+        while let Some(replica) = self.replica(index) {
             let until = deadline.min(Instant::now() + TRY_TIME);
             let tried = match tokio::time::timeout_at(until, call(replica.rpc())).await {
                 Ok(Ok(tried)) => tried,
-                Ok(Err(_)) | Err(_) => Tried::Failed,
+                Ok(Err(_)) => Tried::Failed,
+                Err(_) => {
+                    replica.renew();
+                    Tried::Failed
+                }
             };
             let known = match tried {
                 Tried::Answered(answer) => {
-                    self.leader.store(index, Ordering::Relaxed);
+                    self.led_by(Some(replica.address));
                     return Ok((replica.address, answer));
                 }
                 Tried::NotLeader(leader) => self.led_by(leader).filter(|known| *known != index),
                 Tried::Failed => None,
             };
-            index = known.unwrap_or((index + 1) % self.replicas.len());
+            index = known.unwrap_or(index + 1);
             let pause = Instant::now() + backoff.pause();
             if pause >= deadline {
                 break;
@@ -348,7 +425,8 @@
         F: Future<Output = Result<tonic::Response<T>, tonic::Status>>,
     {
         let deadline = Instant::now() + within;
-        let calls = self.replicas.iter().map(|replica| {
+        let replicas = self.replicas();
+        let calls = replicas.iter().map(|replica| {
             let call = call(replica.rpc());
             async move {
                 let reply = tokio::time::timeout_at(deadline, call).await.ok()?.ok()?;
--- a/crates/fleet/src/edges/rpc/control.rs
+++ b/crates/fleet/src/edges/rpc/control.rs
@@ -29,6 +29,7 @@
 use tonic::Status;
 
 use super::LEADER_KEY;
+use super::node;
 use super::views;
 use crate::controllers::replica::ReplicaError;
 use crate::controllers::replica::ReplicaHandle;
@@ -190,6 +191,16 @@
         Ok(Response::new(proto::ReportReply {}))
     }
 
+    async fn plan(
+        &self,
+        request: Request<proto::PlanRequest>,
+    ) -> Result<Response<proto::PlanReply>, Status> {
+        let held = request.into_inner().version;
+        let view = self.replica.read(|machine| machine.plan().clone());
+        let plan = view.await.map_err(refused)?;
+        Ok(Response::new(node::reply(&plan, held)))
+    }
+
     async fn budgets(
         &self,
         request: Request<proto::BudgetsRequest>,
--- a/crates/fleet/src/edges/rpc/peer.rs
+++ b/crates/fleet/src/edges/rpc/peer.rs
@@ -245,7 +245,7 @@
         if let Some(channel) = channel(to) {
             tokio::spawn(async move {
                 let client = PeerClient::new(channel).max_encoding_message_size(MESSAGE_BYTES);
-                carry(client, rx, || switch.is_cut(own, to)).await;
+                carry(client, to, rx, || switch.is_cut(own, to)).await;
             });
         }
         tx
@@ -267,6 +267,7 @@
 /// loses what waits.
 async fn carry(
     mut client: PeerClient<Channel>,
+    to: SocketAddr,
     mut queue: mpsc::Receiver<Vec<u8>>,
     is_cut: impl Fn() -> bool,
 ) {
@@ -283,6 +284,10 @@
             backoff = BACKOFF_MIN_MILLIS;
             continue;
         }
+        // The connection may have gone silent for good: the next call makes a new one.
+        if let Some(fresh) = channel(to) {
+            client = PeerClient::new(fresh).max_encoding_message_size(MESSAGE_BYTES);
+        }
         let half = Duration::from_millis(backoff) / 2;
         let pause = half + jitter(half);
         tokio::time::sleep(pause).await;
--- a/crates/fleet/src/edges/rpc/watch.rs
+++ b/crates/fleet/src/edges/rpc/watch.rs
@@ -39,18 +39,19 @@
 async fn run(client: &ControlClient, slot: &Slot) {
     let mut index = client.first();
     let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
-    while let Some(replica) = client.replicas.get(index) {
-        let next = match stream(replica, slot).await {
-            Ended::Silent => None,
+    while let Some(replica) = client.replica(index) {
+        let next = match stream(&replica, slot).await {
+            Ended::Silent => {
+                replica.renew();
+                None
+            }
             Ended::Served => {
                 backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
                 None
             }
             Ended::Refused(status) => client.led_by(named_leader(&status)),
         };
-        index = next
-            .filter(|next| *next != index)
-            .unwrap_or((index + 1) % client.replicas.len());
+        index = next.filter(|next| *next != index).unwrap_or(index + 1);
         tokio::time::sleep(backoff.pause()).await;
     }
 }
--- a/crates/fleet/src/filters/call.rs
+++ b/crates/fleet/src/filters/call.rs
@@ -283,6 +283,8 @@
         ran: Ran,
     ) -> Result<Pick, Refusal> {
         let wanted = Wanted {
+            sizes: Vec::new(),
+            home: None,
             kind: Kind::Service(call.spec.name.clone()),
             priority: call.spec.priority,
             prefixes: Vec::new(),
--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -278,6 +278,8 @@
 
     async fn attempt(&mut self, held: Reservation) -> Result<(Finish, Open), Miss> {
         let wanted = Wanted {
+            sizes: Vec::new(),
+            home: None,
             kind: self.kind(),
             priority: self.spec.priority,
             prefixes: self.chat.prefixes.clone(),
--- a/crates/fleet/src/filters/sse.rs
+++ b/crates/fleet/src/filters/sse.rs
@@ -53,6 +53,18 @@
         };
         Ok(self.rest.split_to(seen + found + END.len()).freeze())
     }
+
+    /// Takes what is no whole event yet.
+    pub fn rest(&mut self) -> Bytes {
+        self.rest.split().freeze()
+    }
+}
+
+/// Number in the `id` field of an event, if it has one.
+pub fn number(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
 
 /// Splits whole events, each with its end.
--- /dev/null
+++ b/crates/fleet/src/gateway/front.rs
@@ -0,0 +1,300 @@
+//! Takes a caller's request in: route, key, body, tokens.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutnotch_core::id::Budget;
+use chestnutnotch_core::id::Fingerprint;
+use chestnutnotch_core::id::Service;
+use chestnutnotch_core::id::Workspace;
+use chestnutnotch_core::limit::RetryWindow;
+use chestnutnotch_core::limit::WindowRules;
+use chestnutnotch_core::roster::Role;
+use chestnutnotch_core::route::Limits;
+use chestnutnotch_core::route::Repeat;
+use chestnutnotch_core::route::Route;
+use chestnutnotch_core::route::WorkspaceSpec;
+use chestnutnotch_core::unit::Millis;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header;
+use http::request::Parts;
+use hyper::body::Incoming;
+use rand::RngExt;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::controllers::lifecycle::Flight;
+use crate::controllers::lifecycle::Lifecycle;
+use crate::controllers::lifecycle::Stage;
+use crate::controllers::nodes::Nodes;
+use crate::controllers::plan::InForce;
+use crate::controllers::plan::Routes;
+use crate::controllers::upstreams::Upstreams;
+use crate::dialect::Ask;
+use crate::dialect::Dialect;
+use crate::edges::http::ReadError;
+use crate::edges::http::ReplyBody;
+use crate::edges::http::pool::Pool;
+use crate::edges::http::read_bounded;
+use crate::edges::http::server::Handler;
+use crate::edges::http::server::Terms;
+use crate::gateway::charge::Wallet;
+use crate::gateway::exchange;
+use crate::gateway::job::Job;
+use crate::gateway::refusal::Refusal;
+use crate::metrics::Metrics;
+use crate::timer::Timer;
+
+/// Longest wait for a body, for a caller that gives no deadline.
+const BODY_WITHIN: Duration = Duration::from_secs(10);
+
+/// What serves pass-through requests.
+#[derive(Debug)]
+pub struct Front {
+    /// The routes in force.
+    pub routes: Routes,
+    /// How requests are written.
+    pub dialect: Arc<dyn Dialect>,
+    /// Where the router stands.
+    pub lifecycle: Lifecycle,
+    /// The allotments.
+    pub wallet: Wallet,
+    /// The upstreams.
+    pub upstreams: Upstreams,
+    /// Connections to them.
+    pub pool: Pool,
+    /// The other nodes.
+    pub nodes: Nodes,
+    /// Retries of each service.
+    pub retries: Retries,
+    /// Longest wait for open requests when the router stops.
+    pub close: Duration,
+    /// Source of time.
+    pub timer: Timer,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+}
+
+/// The retry budget of each service.
+#[derive(Debug)]
+pub struct Retries {
+    rules: WindowRules,
+    windows: Mutex<HashMap<Service, RetryWindow>>,
+}
+
+impl Retries {
+    /// Full budgets.
+    pub fn new(rules: WindowRules) -> Self {
+        Self {
+            rules,
+            windows: Mutex::default(),
+        }
+    }
+
+    /// Counts a first attempt.
+    pub fn first(&self, now: Millis, service: &Service) {
+        self.with(service, |window| window.first(now));
+    }
+
+    /// Takes a retry; returns whether there was one.
+    pub fn take(&self, now: Millis, service: &Service, routers: usize) -> bool {
+        self.with(service, |window| window.take(now, routers))
+    }
+
+    /// Retries left.
+    pub fn left(&self, now: Millis, service: &Service, routers: usize) -> u64 {
+        self.with(service, |window| window.left(now, routers))
+    }
+
+    fn with<T>(&self, service: &Service, work: impl FnOnce(&mut RetryWindow) -> T) -> T {
+        let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
+        let window = windows.entry(service.clone());
+        work(window.or_insert_with(|| RetryWindow::new(self.rules)))
+    }
+}
+
+impl Handler for Front {
+    fn terms(&self) -> Terms {
+        let limits = self.limits();
+        Terms {
+            head: limits.head,
+            wait: Duration::from_millis(limits.idle.max(limits.receive).0),
+            close: self.close,
+        }
+    }
+
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ReplyBody> {
+        let mut response = self.serve(request).await;
+        if self.lifecycle.stage() == Stage::Stopping {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+}
+
+impl Front {
+    fn limits(&self) -> Limits {
+        let routes = self.routes.current();
+        routes.map_or_else(Limits::default, |routes| routes.index.plan().limits)
+    }
+
+    async fn serve(self: &Arc<Self>, request: Request<Incoming>) -> Response<ReplyBody> {
+        let flight = self.lifecycle.enter();
+        let start = self.timer.now();
+        let (head, body) = request.into_parts();
+        let (routes, route) = match self.find(&head) {
+            Ok(found) => found,
+            Err(refusal) => return self.refuse(&refusal, None, "", start),
+        };
+        let ask = match self.dialect.ask(&head) {
+            Ok(ask) => ask,
+            Err(error) => return self.refuse(&error.into(), Some(&route), "", start),
+        };
+        let id = ask.id.clone();
+        let admitted = self.admit(flight, start, head, ask, body, routes, &route);
+        match admitted.await {
+            Ok(job) => exchange::run(job).await,
+            Err(refusal) => self.refuse(&refusal, Some(&route), &id, start),
+        }
+    }
+
+    /// The answer to a request that is refused before any upstream was chosen.
+    fn refuse(
+        &self,
+        refusal: &Refusal,
+        route: Option<&Route>,
+        id: &str,
+        start: Millis,
+    ) -> Response<ReplyBody> {
+        let name = route.map_or("", |route| &*route.name);
+        let kind = route.map_or("none", |route| kind(route.repeat));
+        self.metrics.requests.add(refusal.code());
+        self.metrics.passed(kind, refusal.code());
+        log::info!(
+            target: "request",
+            id, route = name, status = refusal.status().as_u16(), code = refusal.code(),
+            routes = self.routes.current().map_or(0, |routes| routes.version()),
+            ms = self.timer.now().saturating_sub(start).0;
+            "refused"
+        );
+        refusal.response(route.map_or(Millis::ZERO, |route| route.target))
+    }
+
+    fn find(&self, head: &Parts) -> Result<(Arc<InForce>, Arc<Route>), Refusal> {
+        let routes = self.routes.current().ok_or(Refusal::Starting)?;
+        let named = head.headers.get(header::HOST);
+        let named = named.and_then(|value| value.to_str().ok());
+        let host = named.or_else(|| head.uri.host()).unwrap_or("");
+        let route = routes.index.find(host, head.uri.path());
+        let route = route.cloned().ok_or(Refusal::NoRoute)?;
+        Ok((routes, route))
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    async fn admit(
+        self: &Arc<Self>,
+        flight: Flight,
+        start: Millis,
+        head: Parts,
+        ask: Ask,
+        body: Incoming,
+        routes: Arc<InForce>,
+        route: &Arc<Route>,
+    ) -> Result<Job, Refusal> {
+        let workspace = caller(&routes, route, &ask)?;
+        let within = ask
+            .within
+            .map_or(route.timeout, |within| within.min(route.timeout));
+        let body = self.read(body, ask.within).await?;
+        let draw = rand::rng().random::<f64>();
+        let service = route.draw(draw).ok_or(Refusal::NoUpstream)?.clone();
+        let budget = workspace.filter(|spec| spec.prepaid.is_some());
+        let charge = match (budget, &ask.prompt) {
+            (Some(spec), Some(prompt)) => {
+                let budget = Budget::from(spec.name.as_str());
+                Some(self.wallet.charge(&budget, prompt).await?)
+            }
+            _ => None,
+        };
+        let stride = routes.index.service(&service).map_or(0, |spec| spec.stride);
+        let rank = workspace.and_then(|spec| spec.rank).unwrap_or(route.rank);
+        let name = workspace.map(|spec| spec.name.clone());
+        Ok(Job {
+            front: Arc::clone(self),
+            flight,
+            body_print: fingerprint(name.as_ref(), &head, &body),
+            route: Arc::clone(route),
+            service,
+            stride: stride.max(1).into(),
+            ask,
+            head,
+            body,
+            workspace: name,
+            rank,
+            start,
+            deadline: start + within,
+            charge,
+            tried: Vec::new(),
+            runs: 0,
+            sends: 0,
+            reason: "",
+        })
+    }
+
+    async fn read(&self, body: Incoming, within: Option<Millis>) -> Result<Bytes, Refusal> {
+        let within = within.map_or(BODY_WITHIN, |within| Duration::from_millis(within.0));
+        let read = read_bounded(body, self.limits().body, within).await;
+        read.map_err(|error| match error {
+            ReadError::TooLarge(most) => Refusal::TooLarge(most),
+            ReadError::Slow(_) | ReadError::Broken(_) => Refusal::NoBody,
+        })
+    }
+
+    /// Number of routers that share the retry budgets, this one included.
+    pub fn routers(&self) -> usize {
+        self.nodes.count(Role::Router)
+    }
+}
+
+/// The workspace of a request; none on a route without keys.
+fn caller<'a>(
+    routes: &'a InForce,
+    route: &Route,
+    ask: &Ask,
+) -> Result<Option<&'a WorkspaceSpec>, Refusal> {
+    let known = ask.key.as_deref().and_then(|key| routes.workspace(key));
+    if known.is_none() && routes.is_keyed() && !route.public {
+        return Err(Refusal::UnknownKey);
+    }
+    Ok(known)
+}
+
+fn fingerprint(workspace: Option<&Workspace>, head: &Parts, body: &[u8]) -> Fingerprint {
+    let mut hasher = Sha256::new();
+    hasher.update(workspace.map_or("", Workspace::as_str));
+    hasher.update([0]);
+    hasher.update(head.uri.path());
+    hasher.update([0]);
+    hasher.update(body);
+    let mut print = Fingerprint::default();
+    let size = print.0.len();
+    print.0.copy_from_slice(&hasher.finalize()[..size]);
+    print
+}
+
+/// A word for a kind of route, for logs and counters.
+pub fn kind(repeat: Repeat) -> &'static str {
+    match repeat {
+        Repeat::Idempotent => "idempotent",
+        Repeat::Once => "once",
+        Repeat::Resumable => "resumable",
+        Repeat::Stream => "stream",
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/gateway/job.rs
@@ -0,0 +1,99 @@
+//! One request on its way.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use chestnutnotch_core::id::Fingerprint;
+use chestnutnotch_core::id::Service;
+use chestnutnotch_core::id::Upstream;
+use chestnutnotch_core::id::Workspace;
+use chestnutnotch_core::route::Route;
+use chestnutnotch_core::unit::Millis;
+use chestnutnotch_core::upstream::Kind;
+use chestnutnotch_core::upstream::Wanted;
+use http::request::Parts;
+
+use crate::controllers::lifecycle::Flight;
+use crate::dialect::Ask;
+use crate::gateway::charge::Charge;
+use crate::gateway::front::Front;
+
+/// One request with all that its way depends on.
+pub struct Job {
+    /// The router.
+    pub front: Arc<Front>,
+    /// Counts it among the requests in flight.
+    pub flight: Flight,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that was drawn.
+    pub service: Service,
+    /// Most tokens in one event of its stream.
+    pub stride: u64,
+    /// What it asks for.
+    pub ask: Ask,
+    /// Its head as it came.
+    pub head: Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// Whose it is.
+    pub workspace: Option<Workspace>,
+    /// Precedence at the upstream.
+    pub rank: u8,
+    /// When it arrived, by the timer's clock.
+    pub start: Millis,
+    /// When its answer has to be whole.
+    pub deadline: Millis,
+    /// Tokens set aside for it.
+    pub charge: Option<Charge>,
+    /// Same for all requests with this workspace, path and body.
+    pub body_print: Fingerprint,
+    /// Upstreams that were tried.
+    pub tried: Vec<Upstream>,
+    /// Attempts that may have run.
+    pub runs: u32,
+    /// Attempts that reached an upstream.
+    pub sends: u32,
+    /// Why the last attempt ended.
+    pub reason: &'static str,
+}
+
+impl Job {
+    /// Time left, in milliseconds.
+    pub fn left(&self) -> Millis {
+        self.deadline.saturating_sub(self.front.timer.now())
+    }
+
+    /// Time since it arrived.
+    pub fn age(&self) -> Millis {
+        self.front.timer.now().saturating_sub(self.start)
+    }
+
+    /// What it needs from an upstream.
+    pub fn wanted(&self) -> Wanted {
+        let prompt = self.ask.prompt.as_ref();
+        let prefixes = prompt.map(|prompt| prompt.prefixes.clone());
+        let prefixes = prefixes.unwrap_or_default();
+        let sizes = match prompt {
+            Some(prompt) if !prompt.sizes.is_empty() => prompt.sizes.clone(),
+            Some(prompt) => vec![prompt.tokens.0],
+            None => vec![0],
+        };
+        // The last part is the request's own; the one before is shared by its session.
+        let home = prefixes.len().checked_sub(2);
+        Wanted {
+            kind: Kind::Service(self.service.clone()),
+            priority: self.rank,
+            prefixes,
+            sizes,
+            home,
+            body: self.body_print,
+            avoid: self.tried.clone(),
+        }
+    }
+
+    /// Whether the request may run once more after an attempt that may have run.
+    pub fn may_rerun(&self) -> bool {
+        self.route.repeat.is_repeatable() && self.runs < self.route.attempts
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/gateway/process.rs
@@ -0,0 +1,476 @@
+//! Whole processes of a system whose nodes find each other: a router of pass-through routes, and a
+//! control host.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chestnutnotch_core::id::Holder;
+use chestnutnotch_core::id::Operator;
+use chestnutnotch_core::ledger::Pace;
+use chestnutnotch_core::ledger::Purse;
+use chestnutnotch_core::limit::WindowRules;
+use chestnutnotch_core::roster::NodeFact;
+use chestnutnotch_core::roster::Role;
+use chestnutnotch_core::unit::Millis;
+use chestnutnotch_core::unit::Tokens;
+use chestnutnotch_core::upstream::Rules;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use crate::control::Control;
+use crate::control::ServeError;
+use crate::controllers::allotment;
+use crate::controllers::allotment::Allotment;
+use crate::controllers::join::join;
+use crate::controllers::lifecycle::Lifecycle;
+use crate::controllers::lifecycle::Stage;
+use crate::controllers::nodes::Nodes;
+use crate::controllers::plan;
+use crate::controllers::plan::Routes;
+use crate::controllers::upstreams::Upstreams;
+use crate::dialect::Dialect;
+use crate::edges::gossip::Gossip;
+use crate::edges::gossip::GossipError;
+use crate::edges::http::HttpClient;
+use crate::edges::http::pool::Pool;
+use crate::edges::http::server;
+use crate::edges::http::server::Handler;
+use crate::edges::rpc::ControlClient;
+use crate::edges::rpc::node::NoLender;
+use crate::edges::rpc::node::NodeService;
+use crate::gateway::charge::Wallet;
+use crate::gateway::front::Front;
+use crate::gateway::front::Retries;
+use crate::gateway::registry::Registry;
+use crate::gateway::status::Status;
+use crate::metrics::Metrics;
+use crate::settings::GatewaySettings;
+use crate::settings::NodeSettings;
+use crate::settings::RegistrySettings;
+use crate::settings::Settings;
+use crate::timer::Timer;
+
+/// How far ahead a router draws: it serves from its allotments while it can't reach the ledger, for
+/// seconds and at several times the usual demand, so it holds as much as the ledger spares.
+const PACE: Pace = Pace {
+    step: Tokens(4_000),
+    ahead: 60,
+    whole: true,
+    ample: Millis(400),
+    scarce: Millis(200),
+    fade: Millis(5_000),
+};
+
+/// Time between two reports to the ledger.
+const DRAW_PERIOD: Duration = Duration::from_millis(200);
+
+/// Time between two looks at what has expired.
+const CHORE_PERIOD: Duration = Duration::from_millis(250);
+
+/// Longest wait for allotments before a router with routes takes callers: those of plain services
+/// need none.
+const JOIN_WITHIN: Duration = Duration::from_secs(2);
+
+/// Part of the grace time that is kept for the return of the allotments.
+const LEAVE_MILLIS: u64 = 600;
+
+/// Time without a heartbeat after which an upstream counts as lost while others are heard: several
+/// heartbeats, one of which may be late.
+const STALE_MILLIS: Millis = Millis(5_000);
+
+/// Why a process does not start, or ends.
+#[derive(Debug, Error)]
+pub enum ProcessError {
+    /// An address can't be listened on.
+    #[error("can't listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The socket for packets can't be opened.
+    #[error("packets on {address}: {source}")]
+    Gossip {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: GossipError,
+    },
+    /// No random number was to be had.
+    #[error("no random number: {0}")]
+    Random(#[from] getrandom::Error),
+    /// The control process failed.
+    #[error(transparent)]
+    Control(#[from] ServeError),
+    /// The ledger has closed this start of the router; a new start is needed.
+    #[error("the ledger has closed this router: another start took its place")]
+    Closed,
+}
+
+/// Runs a router until `stop`, then stops it gracefully. Changed settings are taken from `reload`.
+///
+/// # Errors
+///
+/// See [`ProcessError`].
+pub async fn route(
+    reload: watch::Receiver<GatewaySettings>,
+    dialect: Arc<dyn Dialect>,
+    timer: Timer,
+    stop: impl Future<Output = ()>,
+) -> Result<(), ProcessError> {
+    let settings = reload.borrow().clone();
+    let router = Router::start(&settings, dialect, timer).await?;
+    router.follow(reload);
+    let mut stage = router.front.lifecycle.follow();
+    let outcome = tokio::select! {
+        () = stop => Ok(()),
+        // The sender lives as long as the router.
+        _ = stage.wait_for(|stage| *stage == Stage::Closed) => Err(ProcessError::Closed),
+    };
+    router.stop(&settings).await;
+    outcome
+}
+
+/// A running router.
+struct Router {
+    front: Arc<Front>,
+    servers: Vec<(oneshot::Sender<()>, JoinHandle<()>)>,
+    status: Vec<oneshot::Sender<()>>,
+}
+
+impl Router {
+    async fn start(
+        settings: &GatewaySettings,
+        dialect: Arc<dyn Dialect>,
+        timer: Timer,
+    ) -> Result<Self, ProcessError> {
+        let own = &settings.node;
+        let listener = bind(settings.listen).await?;
+        let ready = bind(settings.ready).await?;
+        let rpc = bind(own.rpc).await?;
+        let metrics = Arc::new(Metrics::new());
+        let base = Base::start(own, Role::Router, &timer, &metrics).await?;
+        let wallet = Wallet::new(base.nodes.clone(), timer.clone());
+        let routes = Routes::start(plan::Parts {
+            dialect: Arc::clone(&dialect),
+            control: base.control.clone(),
+            nodes: base.nodes.clone(),
+            timer: timer.clone(),
+            metrics: Arc::clone(&metrics),
+        });
+        let rules = WindowRules {
+            share: settings.retries.share,
+            allowance: settings.retries.allowance,
+            window: Millis(settings.retries.window),
+        };
+        let lifecycle = Lifecycle::new(Arc::clone(&metrics));
+        let spent = settings.linger + LEAVE_MILLIS;
+        let front = Arc::new(Front {
+            routes: routes.clone(),
+            dialect: Arc::clone(&dialect),
+            lifecycle: lifecycle.clone(),
+            wallet: wallet.clone(),
+            upstreams: base.upstreams,
+            pool: Pool::default(),
+            nodes: base.nodes,
+            retries: Retries::new(rules),
+            close: Duration::from_millis(settings.grace.saturating_sub(spent)),
+            timer,
+            metrics: Arc::clone(&metrics),
+        });
+        let status = Arc::new(Status {
+            lifecycle,
+            ready: dialect.ready_path(),
+            metrics,
+        });
+        let mut answering = vec![spawn(ready, Arc::clone(&status)).0];
+        if let Some(address) = own.metrics {
+            answering.push(spawn(bind(address).await?, status).0);
+        }
+        let node = NodeService::new(routes.held(), Arc::new(wallet));
+        tokio::spawn(
+            Server::builder()
+                .add_service(node.into_server())
+                .serve_with_incoming(TcpListenerStream::new(rpc)),
+        );
+        tokio::spawn(chores(Arc::clone(&front)));
+        tokio::spawn(open(
+            Arc::clone(&front),
+            base.control,
+            own.clone(),
+            getrandom::u64()?,
+        ));
+        Ok(Self {
+            servers: vec![spawn(listener, Arc::clone(&front))],
+            front,
+            status: answering,
+        })
+    }
+
+    /// Takes changed settings in.
+    fn follow(&self, mut reload: watch::Receiver<GatewaySettings>) {
+        let nodes = self.front.nodes.clone();
+        tokio::spawn(async move {
+            while reload.changed().await.is_ok() {
+                let seeds = reload.borrow().node.seeds.clone();
+                nodes.reseed(seeds);
+            }
+        });
+    }
+
+    /// Stops: no new connections, then no new requests, then the end of those in flight.
+    async fn stop(self, settings: &GatewaySettings) {
+        self.front.lifecycle.advance(Stage::Stopping);
+        self.front.nodes.leave();
+        tokio::time::sleep(Duration::from_millis(settings.linger)).await;
+        for (stop, server) in self.servers {
+            // A server that has ended needs no word.
+            let _ = stop.send(());
+            let _ = server.await;
+        }
+        if let Some(allotment) = self.front.wallet.allotment()
+            && !allotment.leave().await
+        {
+            log::warn!("allotments not returned; the next start on this host frees them");
+        }
+        drop(self.status);
+        log::info!("router has stopped");
+    }
+}
+
+/// Opens the router for callers: routes first, then allotments, for which plain services don't wait.
+async fn open(front: Arc<Front>, control: ControlClient, own: NodeSettings, nonce: u64) {
+    let joining = tokio::spawn(fund(Arc::clone(&front), control, own, nonce));
+    front.routes.ready().await;
+    // Without allotments in time the router serves what needs none.
+    let _ = tokio::time::timeout(JOIN_WITHIN, joining).await;
+    front.lifecycle.advance(Stage::Serving);
+}
+
+/// Joins the ledger and fills the wallet.
+async fn fund(front: Arc<Front>, control: ControlClient, own: NodeSettings, nonce: u64) {
+    let router = join(&control, &own.host(), nonce).await;
+    log::info!(router:% = router; "joined the ledger");
+    let parts = allotment::Parts {
+        purse: Purse::paced(Holder::Router(router), PACE),
+        control,
+        period: DRAW_PERIOD,
+        timer: front.timer.clone(),
+        metrics: Arc::clone(&front.metrics),
+        lifecycle: front.lifecycle.clone(),
+    };
+    match Allotment::start(parts).await {
+        Ok(allotment) => front.wallet.fill(allotment),
+        Err(error) => log::error!(error:% = error; "no allotments"),
+    }
+}
+
+/// What both kinds of nodes are built on.
+struct Base {
+    nodes: Nodes,
+    upstreams: Upstreams,
+    control: ControlClient,
+}
+
+impl Base {
+    async fn start(
+        own: &NodeSettings,
+        role: Role,
+        timer: &Timer,
+        metrics: &Arc<Metrics>,
+    ) -> Result<Self, ProcessError> {
+        let address = own.gossip;
+        let gossip = Gossip::bind(address).await;
+        let gossip = gossip.map_err(|source| ProcessError::Gossip { address, source })?;
+        let rules = Rules {
+            passive: true,
+            stale: STALE_MILLIS,
+            ..Rules::default()
+        };
+        let upstreams = Upstreams::with(
+            own.centre.clone(),
+            rules,
+            0,
+            HttpClient::new(),
+            timer.clone(),
+            Arc::clone(metrics),
+        );
+        let fact = NodeFact {
+            host: own.name.clone(),
+            role,
+            centre: own.centre.clone(),
+            address,
+            rpc: own.rpc,
+            start: timer.unix().0,
+            beat: 0,
+            leaving: false,
+            plan: 0,
+        };
+        let nodes = Nodes::start(
+            fact,
+            own.seeds.clone(),
+            gossip,
+            upstreams.clone(),
+            timer.clone(),
+        );
+        let operator = Operator::from(own.name.as_str());
+        let control = ControlClient::new(own.control.clone(), operator);
+        tokio::spawn(meet(nodes.clone(), control.clone(), own.control.clone()));
+        Ok(Self {
+            nodes,
+            upstreams,
+            control,
+        })
+    }
+}
+
+/// Keeps a client's view of the control replicas up to date.
+async fn meet(nodes: Nodes, control: ControlClient, seeds: Vec<SocketAddr>) {
+    let mut known = Vec::new();
+    loop {
+        let found = with_seeds(nodes.rpc(Role::Control), &seeds);
+        if found != known {
+            control.meet(&found);
+            known = found;
+        }
+        // The next look comes anyway.
+        let _ = tokio::time::timeout(CHORE_PERIOD, nodes.changed()).await;
+    }
+}
+
+fn with_seeds(mut found: Vec<SocketAddr>, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+    for seed in seeds {
+        if !found.contains(seed) {
+            found.push(*seed);
+        }
+    }
+    found
+}
+
+/// What is due regularly at a router.
+async fn chores(front: Arc<Front>) {
+    let mut ticks = front.timer.every(CHORE_PERIOD);
+    while ticks.recv().await.is_some() {
+        // Upstreams that can't be asked give no probes.
+        front.upstreams.tick();
+        front.pool.expire();
+        front.nodes.warn(front.upstreams.crashes());
+    }
+}
+
+/// Runs a control host until `stop`.
+///
+/// # Errors
+///
+/// See [`ProcessError`].
+pub async fn register(
+    reload: watch::Receiver<RegistrySettings>,
+    dialect: Arc<dyn Dialect>,
+    timer: Timer,
+    stop: impl Future<Output = ()> + Send,
+) -> Result<(), ProcessError> {
+    let settings = reload.borrow().clone();
+    let own = &settings.node;
+    let listener = bind(settings.listen).await?;
+    let rpc = bind(own.rpc).await?;
+    let metrics = Arc::new(Metrics::new());
+    let base = Base::start(own, Role::Control, &timer, &metrics).await?;
+    let registry = Arc::new(Registry {
+        dialect: Arc::clone(&dialect),
+        nodes: base.nodes.clone(),
+        upstreams: base.upstreams.clone(),
+        control: base.control.clone(),
+    });
+    let mut servers = vec![spawn(listener, registry).0];
+    if let Some(address) = own.metrics {
+        let lifecycle = Lifecycle::new(Arc::clone(&metrics));
+        lifecycle.advance(Stage::Serving);
+        let status = Arc::new(Status {
+            lifecycle,
+            ready: dialect.ready_path(),
+            metrics,
+        });
+        servers.push(spawn(bind(address).await?, status).0);
+    }
+    tokio::spawn(reseed(reload, base.nodes.clone()));
+    let outcome = match settings.replica.clone() {
+        Some(replica) => {
+            let whole = Settings {
+                host: own.host(),
+                control: own.control.clone(),
+                replica: Some(replica),
+                router: None,
+            };
+            let control = Control::start(whole, rpc, timer).await?;
+            tokio::spawn(introduce(base.nodes.clone(), control.replica().clone()));
+            tokio::spawn(meet(
+                base.nodes.clone(),
+                control.client().clone(),
+                own.control.clone(),
+            ));
+            let plan = control.replica().plan();
+            tokio::spawn(hold(plan.clone(), base.nodes.clone()));
+            let node = NodeService::new(plan, Arc::new(NoLender));
+            control.run(Some(node), stop).await
+        }
+        None => {
+            stop.await;
+            Ok(())
+        }
+    };
+    base.nodes.leave();
+    drop(servers);
+    Ok(outcome?)
+}
+
+async fn reseed(mut reload: watch::Receiver<RegistrySettings>, nodes: Nodes) {
+    while reload.changed().await.is_ok() {
+        let seeds = reload.borrow().node.seeds.clone();
+        nodes.reseed(seeds);
+    }
+}
+
+/// Tells a replica where the others are.
+async fn introduce(nodes: Nodes, replica: crate::controllers::replica::ReplicaHandle) {
+    loop {
+        replica.meet(nodes.rpc(Role::Control));
+        // The next look comes anyway.
+        let _ = tokio::time::timeout(CHORE_PERIOD, nodes.changed()).await;
+    }
+}
+
+/// Tells the others which routes this replica has applied.
+async fn hold(mut plan: watch::Receiver<chestnutnotch_core::route::Held>, nodes: Nodes) {
+    loop {
+        let version = plan.borrow_and_update().version;
+        if version > 0 {
+            log::info!(version; "routes applied");
+            nodes.hold(version);
+        }
+        if plan.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn spawn(
+    listener: TcpListener,
+    handler: Arc<impl Handler>,
+) -> (oneshot::Sender<()>, JoinHandle<()>) {
+    let (stop, stopped) = oneshot::channel();
+    let server = tokio::spawn(server::serve(listener, handler, stopped));
+    (stop, server)
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, ProcessError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| ProcessError::Listen { address, source })
+}
--- /dev/null
+++ b/crates/fleet/src/gateway/registry.rs
@@ -0,0 +1,207 @@
+//! Interface of a control host for upstreams and operators: heartbeats, and pass-through routes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutnotch_core::command::Command;
+use chestnutnotch_core::command::Reply;
+use chestnutnotch_core::id::Budget;
+use chestnutnotch_core::id::Upstream;
+use chestnutnotch_core::route::Adopt;
+use chestnutnotch_core::route::Plan;
+use chestnutnotch_core::route::Prepaid;
+use chestnutnotch_core::unit::Incarnation;
+use chestnutnotch_core::upstream::Announcement;
+use chestnutnotch_core::upstream::Phase;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use hyper::body::Incoming;
+use thiserror::Error;
+
+use crate::controllers::nodes::Nodes;
+use crate::controllers::upstreams::ANNOUNCEMENT_BYTES;
+use crate::controllers::upstreams::Upstreams;
+use crate::dialect::Dialect;
+use crate::dialect::DocumentError;
+use crate::dialect::Operation;
+use crate::edges::http::ReadError;
+use crate::edges::http::ReplyBody;
+use crate::edges::http::read_bounded;
+use crate::edges::http::server::Handler;
+use crate::edges::rpc::ControlClient;
+use crate::edges::rpc::ControlError;
+
+/// Longest wait for the body of a call.
+const BODY_WITHIN: Duration = Duration::from_secs(3);
+
+/// Longest wait for a quorum: callers go to another host after a second without an answer.
+const QUORUM_WITHIN: Duration = Duration::from_millis(900);
+
+/// Largest set of routes, in bytes: what one command of the agreed log holds.
+const ROUTES_BYTES: usize = 8 << 20;
+
+/// Answers upstreams and operators.
+#[derive(Debug)]
+pub struct Registry {
+    /// How they speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// The other nodes.
+    pub nodes: Nodes,
+    /// The upstreams.
+    pub upstreams: Upstreams,
+    /// The control replicas.
+    pub control: ControlClient,
+}
+
+/// Why a call is refused.
+#[derive(Debug, Error)]
+enum CallError {
+    #[error("no such call")]
+    Unknown,
+    #[error("the body is larger than {0} bytes")]
+    TooLarge(usize),
+    #[error("the body did not arrive")]
+    NoBody,
+    #[error(transparent)]
+    Document(#[from] DocumentError),
+    #[error(transparent)]
+    Control(#[from] ControlError),
+    #[error("unexpected reply from the control replicas")]
+    Unexpected,
+    #[error("no routes yet")]
+    NoRoutes,
+}
+
+impl CallError {
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::Unknown => StatusCode::NOT_FOUND,
+            Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoBody => StatusCode::REQUEST_TIMEOUT,
+            Self::Document(_) => StatusCode::BAD_REQUEST,
+            Self::Control(_) | Self::Unexpected | Self::NoRoutes => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+impl Handler for Registry {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ReplyBody> {
+        let path = request.uri().path();
+        let operation = self.dialect.operation(request.method(), path);
+        let outcome = match operation {
+            Some(operation) => self.answer(&operation, request.into_body()).await,
+            None => Err(CallError::Unknown),
+        };
+        match outcome {
+            Ok(body) => json(StatusCode::OK, body),
+            Err(error) => {
+                log::warn!(status = error.status().as_u16(), error:% = error; "call refused");
+                let body = serde_json::json!({ "error": error.to_string() });
+                json(error.status(), Bytes::from(body.to_string()))
+            }
+        }
+    }
+}
+
+impl Registry {
+    async fn answer(&self, operation: &Operation, body: Incoming) -> Result<Bytes, CallError> {
+        match operation {
+            Operation::Heartbeat(upstream) => {
+                let body = read(body, ANNOUNCEMENT_BYTES).await?;
+                let said = self.dialect.heartbeat(upstream, &body)?;
+                self.nodes.announce(said);
+                Ok(EMPTY)
+            }
+            Operation::Leave(upstream) => {
+                let body = read(body, ANNOUNCEMENT_BYTES).await?;
+                self.leave(upstream, self.dialect.started(&body));
+                Ok(EMPTY)
+            }
+            Operation::Publish => {
+                let source = read(body, ROUTES_BYTES).await?;
+                self.publish(source).await
+            }
+            Operation::Read => {
+                let held = self.control.plan(0, QUORUM_WITHIN).await?;
+                match held.version {
+                    0 => Err(CallError::NoRoutes),
+                    _ => Ok(Bytes::copy_from_slice(&held.source)),
+                }
+            }
+        }
+    }
+
+    /// Notes that an upstream goes. One that is not known has nothing to leave; one that has started
+    /// again since stays.
+    fn leave(&self, upstream: &Upstream, started: Option<u64>) {
+        let known = self.upstreams.announcements();
+        let Some(known) = known.into_iter().find(|said| said.upstream == *upstream) else {
+            log::info!(upstream:% = upstream; "unknown upstream left");
+            return;
+        };
+        if started.is_some_and(|started| Incarnation(started) < known.incarnation) {
+            return;
+        }
+        self.nodes.announce(Announcement {
+            phase: Phase::Leaving,
+            seq: known.seq + 1,
+            ..known
+        });
+    }
+
+    async fn publish(&self, source: Bytes) -> Result<Bytes, CallError> {
+        let plan = self.dialect.plan(&source)?;
+        let version = plan.version;
+        let adopt = Adopt {
+            version,
+            source: source.to_vec().into(),
+            prepaid: prepaid(&plan),
+        };
+        let submitted = self
+            .control
+            .submit(Command::Adopt(adopt), QUORUM_WITHIN)
+            .await;
+        match submitted {
+            Ok(Reply::Adopted(held)) => {
+                log::info!(version, held, routes = plan.routes.len(); "routes acknowledged");
+                Ok(EMPTY)
+            }
+            Ok(_) => Err(CallError::Unexpected),
+            Err(error) => Err(error.into()),
+        }
+    }
+}
+
+const EMPTY: Bytes = Bytes::from_static(b"{}");
+
+/// Totals of the budgets that a plan names.
+fn prepaid(plan: &Plan) -> Vec<Prepaid> {
+    let workspaces = plan.workspaces.iter().flatten();
+    let totals = workspaces.filter_map(|spec| {
+        Some(Prepaid {
+            budget: Budget::from(spec.name.as_str()),
+            total: spec.prepaid?,
+        })
+    });
+    totals.collect()
+}
+
+async fn read(body: Incoming, most: usize) -> Result<Bytes, CallError> {
+    let read = read_bounded(body, most, BODY_WITHIN).await;
+    read.map_err(|error| match error {
+        ReadError::TooLarge(most) => CallError::TooLarge(most),
+        ReadError::Slow(_) | ReadError::Broken(_) => CallError::NoBody,
+    })
+}
+
+fn json(status: StatusCode, body: Bytes) -> Response<ReplyBody> {
+    let mut response = Response::new(ReplyBody::whole(body));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,9 +13,13 @@
 
 pub mod control;
 pub mod controllers;
+pub mod dialect;
 pub mod edges;
 pub mod file;
 pub mod filters;
+pub mod gateway;
+pub mod keys;
+pub mod logging;
 pub mod metrics;
 pub mod publish;
 pub mod router;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
 /// How something ended.
@@ -69,6 +70,32 @@
     pub unknown: Gauge,
     /// Revision in force.
     pub revision: Gauge,
+    /// Connections to upstreams: kept, new or failed.
+    pub connections: Results,
+    passed: Family<PassLabel, Counter>,
+    answered: Family<KindLabel, Histogram>,
+}
+
+/// Kind of a pass-through route and the end of a request.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct PassLabel {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
+/// Kind of a pass-through route.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct KindLabel {
+    kind: &'static str,
+}
+
+/// Bounds of the latency histograms, in seconds: around the targets of calls and of streams.
+const LATENCY_SECONDS: [f64; 12] = [
+    0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0,
+];
+
+fn latency() -> Histogram {
+    Histogram::new(LATENCY_SECONDS)
 }
 
 impl Metrics {
@@ -94,6 +121,9 @@
             flying: Gauge::default(),
             unknown: Gauge::default(),
             revision: Gauge::default(),
+            connections: Results::default(),
+            passed: Family::default(),
+            answered: Family::new_with_constructor(latency),
         };
         metrics.register();
         metrics
@@ -116,6 +146,7 @@
             ("announcements", "Announcements", &self.announcements),
             ("crashes", "Crash evidence", &self.crashes),
             ("spreads", "Messages between routers", &self.spreads),
+            ("connections", "Connections to upstreams", &self.connections),
         ];
         for (name, help, results) in counters {
             self.registry.register(name, help, results.0.clone());
@@ -132,6 +163,26 @@
         for (name, help, gauge) in gauges {
             self.registry.register(name, help, gauge.clone());
         }
+        let help = "Pass-through requests by kind of route and end";
+        self.registry
+            .register("pass_through_requests", help, self.passed.clone());
+        let help = "Time to the first event or the whole answer";
+        self.registry
+            .register("answer_seconds", help, self.answered.clone());
+    }
+
+    /// Counts the end of a pass-through request.
+    pub fn passed(&self, kind: &'static str, outcome: &'static str) {
+        let label = PassLabel { kind, outcome };
+        self.passed.get_or_create(&label).inc();
+    }
+
+    /// Counts the time to the first event of a stream, or to a whole answer.
+    pub fn answered(&self, kind: &'static str, millis: u64) {
+        let seconds = millis as f64 / 1_000.0;
+        self.answered
+            .get_or_create(&KindLabel { kind })
+            .observe(seconds);
     }
 
     /// The metrics in the text form that collectors read.
--- a/crates/fleet/src/router.rs
+++ b/crates/fleet/src/router.rs
@@ -6,12 +6,8 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
-use chestnutnotch_core::command::Command;
-use chestnutnotch_core::command::Join;
-use chestnutnotch_core::command::Reply;
 use chestnutnotch_core::id::Holder;
 use chestnutnotch_core::id::Operator;
-use chestnutnotch_core::id::RouterId;
 use chestnutnotch_core::ledger::Purse;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -24,6 +20,7 @@
 use crate::controllers::bills::Bills;
 use crate::controllers::config::Config;
 use crate::controllers::gate::Gate;
+use crate::controllers::join::join;
 use crate::controllers::lifecycle::Lifecycle;
 use crate::controllers::lifecycle::Stage;
 use crate::controllers::spread::Spread;
@@ -40,10 +37,7 @@
 use crate::settings::RouterSettings;
 use crate::settings::Settings;
 use crate::timer::Timer;
-use crate::timer::jitter;
 
-const JOIN_WITHIN: Duration = Duration::from_secs(2);
-const JOIN_PAUSE: Duration = Duration::from_millis(100);
 const FLUSH_WITHIN: Duration = Duration::from_secs(10);
 
 /// Why a router does not start, or ends.
@@ -272,7 +266,7 @@
 
     /// Gets an incarnation and a confirmed configuration, then serves.
     async fn join(self, nonce: u64) -> Result<(), RouterError> {
-        let router = self.incarnation(nonce).await;
+        let router = join(&self.control, &self.host, nonce).await;
         log::info!("joined as {router}");
         self.front.config.joined(router.incarnation);
         let metrics = Arc::clone(&self.front.metrics);
@@ -314,28 +308,6 @@
         self.front.lifecycle.advance(Stage::Serving);
         Ok(())
     }
-
-    async fn incarnation(&self, nonce: u64) -> RouterId {
-        loop {
-            let join = Command::Join(Join {
-                host: self.host.name.clone(),
-                centre: self.host.centre.clone(),
-                nonce,
-            });
-            match self.control.submit(join, JOIN_WITHIN).await {
-                Ok(Reply::Joined(incarnation)) => {
-                    return RouterId {
-                        host: self.host.name.clone(),
-                        incarnation,
-                    };
-                }
-                Ok(reply) => log::error!("joining was answered with {reply:?}"),
-                Err(error) => log::debug!("not joined yet: {error}"),
-            }
-            let pause = jitter(JOIN_PAUSE);
-            tokio::time::sleep(JOIN_PAUSE + pause).await;
-        }
-    }
 }
 
 /// RPC addresses of the other routers.
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -51,6 +51,21 @@
     /// Log entries between two snapshots.
     #[serde(default = "snapshot")]
     pub snapshot: u64,
+    /// How the group keeps itself whole where its replicas find each other by themselves. Without
+    /// it, the addresses in the settings are all there are.
+    #[serde(default)]
+    pub discovery: Option<DiscoverySettings>,
+}
+
+/// How a control group whose replicas find each other keeps itself whole.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DiscoverySettings {
+    /// Number of voters; further replicas follow, and replace voters that fall silent.
+    pub seats: usize,
+    /// Whether this replica may found a group, together with all addresses in the settings. True
+    /// only at the first start of the system: later, an empty disk is one that was lost.
+    pub founds: bool,
 }
 
 /// Settings of a router.
@@ -78,6 +93,82 @@
     pub drain: u64,
 }
 
+/// Where a node of a system whose nodes find each other stands, and where it listens for others.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name of its host.
+    pub name: Host,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// Address for packets of other nodes (UDP).
+    pub gossip: SocketAddr,
+    /// Address for calls of other nodes (TCP).
+    pub rpc: SocketAddr,
+    /// Packet addresses of a few control hosts.
+    pub seeds: Vec<SocketAddr>,
+    /// Call addresses of the same.
+    pub control: Vec<SocketAddr>,
+    /// Address for metrics.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Settings of a router of pass-through routes.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// The node.
+    pub node: NodeSettings,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address where the balancer asks whether new connections are taken.
+    pub ready: SocketAddr,
+    /// The retry budget of each service over all routers.
+    pub retries: RetrySettings,
+    /// How long a router that stops still takes connections, in milliseconds: until the balancer has
+    /// noticed.
+    #[serde(default = "linger")]
+    pub linger: u64,
+    /// Time from the order to stop to the end of the process, in milliseconds.
+    pub grace: u64,
+}
+
+/// A retry budget: in any window, a share of the first attempts, and some besides.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetrySettings {
+    /// Retries for each first attempt, in thousandths.
+    pub share: u32,
+    /// Retries besides.
+    pub allowance: u32,
+    /// Length of the window, in milliseconds.
+    pub window: u64,
+}
+
+/// Settings of a control host that upstreams and operators call.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RegistrySettings {
+    /// The node.
+    pub node: NodeSettings,
+    /// Address for upstreams and operators.
+    pub listen: SocketAddr,
+    /// Its replica; without one, the host passes calls on to those that have one.
+    #[serde(default)]
+    pub replica: Option<ReplicaSettings>,
+}
+
+impl NodeSettings {
+    /// Where the node stands.
+    pub fn host(&self) -> HostSettings {
+        HostSettings {
+            name: self.name.clone(),
+            centre: self.centre.clone(),
+        }
+    }
+}
+
 impl ReplicaSettings {
     /// Defaults for all but the address and the folder.
     pub fn new(listen: SocketAddr, data: PathBuf) -> Self {
@@ -87,6 +178,7 @@
             election: election(),
             heartbeat: heartbeat(),
             snapshot: snapshot(),
+            discovery: None,
         }
     }
 }
@@ -113,6 +205,8 @@
 const RECORD_BYTES: usize = 64 << 10;
 const DRAW_MILLIS: u64 = 200;
 const DRAIN_MILLIS: u64 = 180_000;
+/// Two questions of a balancer that asks each second, and the answers.
+pub const LINGER_MILLIS: u64 = 2_500;
 
 fn election() -> u64 {
     ELECTION_MILLIS
@@ -141,3 +235,7 @@
 fn drain() -> u64 {
     DRAIN_MILLIS
 }
+
+fn linger() -> u64 {
+    LINGER_MILLIS
+}
--- a/crates/fleet/tests/replica_support/mod.rs
+++ b/crates/fleet/tests/replica_support/mod.rs
@@ -121,6 +121,7 @@
             addresses,
             switch: Switch::default(),
             replicas: Vec::new(),
+            discovery: None,
             snapshot,
             election: 300,
             relays: Vec::new(),
@@ -149,6 +150,7 @@
             data: self.data(at),
             election: self.election,
             heartbeat: 50,
+            discovery: None,
             snapshot: self.snapshot,
         };
         let timer = Timer::new();
--- a/crates/wire/src/convert/command.rs
+++ b/crates/wire/src/convert/command.rs
@@ -5,6 +5,7 @@
 use chestnutnotch_core::command;
 use chestnutnotch_core::command::Command;
 use chestnutnotch_core::id::ReplicaId;
+use chestnutnotch_core::route;
 use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::unit::Revision;
@@ -37,6 +38,7 @@
             Command::Seal(seal) => Kind::Seal(seal.into()),
             Command::Resolve(resolve) => Kind::Resolve(resolve.into()),
             Command::Lead(lead) => Kind::Lead(lead.into()),
+            Command::Adopt(adopt) => Kind::Adopt(adopt.into()),
         };
         Self { kind: Some(kind) }
     }
@@ -63,6 +65,7 @@
             Kind::Seal(seal) => Self::Seal(seal.try_into()?),
             Kind::Resolve(resolve) => Self::Resolve(resolve.try_into()?),
             Kind::Lead(lead) => Self::Lead(lead.try_into()?),
+            Kind::Adopt(adopt) => Self::Adopt(adopt.into()),
         })
     }
 }
@@ -392,3 +395,31 @@
         })
     }
 }
+
+impl From<route::Adopt> for proto::Adopt {
+    fn from(from: route::Adopt) -> Self {
+        let prepaid = from.prepaid.into_iter().map(|row| proto::Prepaid {
+            budget: row.budget.to_string(),
+            total: row.total.0,
+        });
+        Self {
+            version: from.version,
+            source: from.source.to_vec(),
+            prepaid: prepaid.collect(),
+        }
+    }
+}
+
+impl From<proto::Adopt> for route::Adopt {
+    fn from(from: proto::Adopt) -> Self {
+        let prepaid = from.prepaid.into_iter().map(|row| route::Prepaid {
+            budget: row.budget.into(),
+            total: Tokens(row.total),
+        });
+        Self {
+            version: from.version,
+            source: from.source.into(),
+            prepaid: prepaid.collect(),
+        }
+    }
+}
--- a/crates/wire/src/convert/reply.rs
+++ b/crates/wire/src/convert/reply.rs
@@ -39,6 +39,7 @@
                 incarnation: last.map(|last| last.0),
             }),
             Reply::Leads(fence) => Kind::Leads(fence.0),
+            Reply::Adopted(version) => Kind::Adopted(version),
             Reply::Refused(refusal) => Kind::Refused(refusal.into()),
         };
         Self { kind: Some(kind) }
@@ -64,6 +65,7 @@
             Kind::ToppedUp(total) => Self::ToppedUp(Tokens(total)),
             Kind::Retired(retired) => Self::Retired(retired.incarnation.map(Incarnation)),
             Kind::Leads(fence) => Self::Leads(Fence(fence)),
+            Kind::Adopted(version) => Self::Adopted(version),
             Kind::Refused(refusal) => Self::Refused(refusal.try_into()?),
         })
     }
