--- a/crates/core/src/upstream/choice.rs
+++ b/crates/core/src/upstream/choice.rs
@@ -55,15 +55,21 @@
         (0..rows.len()).min_by_key(|&index| {
             let row = rows[index];
             let unread = match home {
-                Some(home) if home != index => self.wanted.sizes.iter().sum(),
+                Some(home) if home == index => self.unread_at_home(),
                 _ => self.unread(row),
             };
             let read = (row.unread + unread) / self.rules.reads.max(1);
-            let taken = u64::from(row.taken(self.rules)) * self.rules.turn;
+            let taken = u64::from(row.flying) * self.rules.turn;
             (read + taken, index)
         })
     }
 
+    /// Prompt tokens to be read at the agreed upstream: other routers have sent it the rest.
+    fn unread_at_home(&self) -> u64 {
+        let own = self.wanted.home.map_or(0, |home| home + 1);
+        self.wanted.sizes.iter().skip(own).sum()
+    }
+
     /// The upstream that all routers agree on for this session: the one with the highest hash.
     fn home(&self, rows: &[&Row]) -> Option<usize> {
         let key = *self.wanted.prefixes.get(self.wanted.home?)?;
@@ -142,9 +148,16 @@
 /// Weight of an upstream for a session, the same at every router.
 fn rank(key: u64, upstream: &str) -> u64 {
     let mut hasher = FxHasher::default();
-    hasher.write_u64(key);
     hasher.write(upstream.as_bytes());
-    hasher.finish()
+    mix(key ^ mix(hasher.finish()))
+}
+
+/// The finalizer of SplitMix64. The fast hasher alone gives each upstream a fixed place on a ring,
+/// so that some get several times the sessions of others.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
 }
 
 const SHARED_MARK: i64 = 1_000;
