--- a/crates/core/src/ledger/pace.rs
+++ b/crates/core/src/ledger/pace.rs
@@ -11,10 +11,9 @@
     /// Seconds of recent spending that are drawn ahead. The ledger grants less as a budget nears
     /// its end.
     pub ahead: u64,
-    /// Whether the whole allotment may be spent without a report: it then outlasts a partition, and
-    /// all of it is unknown when the holder is lost. Otherwise the exposure follows the largest
-    /// reservations of late.
-    pub whole: bool,
+    /// Seconds of recent spending that may go without a report, besides the largest reservations of
+    /// late. It carries a holder through a partition, and is unknown when the holder is lost.
+    pub cover: u64,
     /// Time between reports.
     pub ample: Millis,
     /// Time between reports while tokens are scarce.
@@ -28,7 +27,7 @@
         Self {
             step: STEP,
             ahead: AHEAD_SECONDS,
-            whole: false,
+            cover: 0,
             ample: AMPLE_MILLIS,
             scarce: SCARCE_MILLIS,
             fade: FADE_MILLIS,
--- a/crates/core/src/ledger/purse.rs
+++ b/crates/core/src/ledger/purse.rs
@@ -110,6 +110,14 @@
         }
     }
 
+    /// Asks for a first allotment of a budget with the next draw, before any request needs it.
+    pub fn expect(&mut self, budget: &Budget) {
+        if !self.left && !self.rows.contains_key(budget) {
+            let row = Row::expected(self.pace.step);
+            self.rows.insert(budget.clone(), row);
+        }
+    }
+
     /// Sets the worst case of an attempt aside.
     ///
     /// # Errors
--- a/crates/core/src/ledger/row.rs
+++ b/crates/core/src/ledger/row.rs
@@ -98,6 +98,14 @@
 }
 
 impl Row {
+    /// A row that asks for tokens before any request does.
+    pub fn expected(need: Tokens) -> Self {
+        Self {
+            need,
+            ..Self::default()
+        }
+    }
+
     pub fn free(&self) -> Tokens {
         self.granted.saturating_sub(self.used())
     }
@@ -180,7 +188,7 @@
         fault: Option<Fault>,
     ) -> DrawRow {
         self.hand_back(now, pace);
-        let exposure = self.wished_exposure(now, pace);
+        let exposure = self.wished_exposure(pace);
         self.limit = self.limit.min(exposure);
         self.last = Some(Sent {
             seq,
@@ -267,12 +275,9 @@
         self.recall = Tokens::ZERO;
     }
 
-    fn wished_exposure(&mut self, now: Millis, pace: &Pace) -> Tokens {
-        if pace.whole {
-            let level = self.free().max(self.need + self.ahead(now, pace));
-            return level + self.exposed();
-        }
-        let steps = self.peak.doubled().0.div_ceil(EXPOSURE_STEP.0).max(1);
+    fn wished_exposure(&mut self, pace: &Pace) -> Tokens {
+        let wished = self.peak.doubled() + self.rate.over(pace.cover);
+        let steps = wished.0.div_ceil(EXPOSURE_STEP.0).max(1);
         let wished = Tokens(EXPOSURE_STEP.0.saturating_mul(steps));
         wished.max(self.exposed())
     }
--- a/crates/fleet/src/controllers/allotment.rs
+++ b/crates/fleet/src/controllers/allotment.rs
@@ -163,6 +163,14 @@
         Err(Refusal::NoQuorum(Ran::NotRun))
     }
 
+    /// See [`Purse::expect`].
+    pub fn expect(&self, budgets: impl IntoIterator<Item = Budget>) {
+        let mut purse = self.purse();
+        for budget in budgets {
+            purse.expect(&budget);
+        }
+    }
+
     /// See [`Purse::settle`].
     pub fn settle(&self, held: Reservation, used: Tokens, wasted: Tokens) {
         self.metrics.tokens.add_many("billed", used.0);
--- a/crates/fleet/src/controllers/spool.rs
+++ b/crates/fleet/src/controllers/spool.rs
@@ -5,6 +5,10 @@
 //! holder, no bill of it can appear any more, and the ledger may free what it left unspent.
 
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use chestnutnotch_core::command::Bill;
@@ -58,7 +62,8 @@
 
 /// State of the running actor.
 pub struct SpoolState {
-    spool: Spool,
+    /// Locked by one disk operation at a time, on a thread that may wait.
+    spool: Arc<Mutex<Spool>>,
     args: SpoolArgs,
     /// A round of handing in is under way. Rounds run beside the actor, so that bills are kept
     /// while a round waits for a quorum.
@@ -100,7 +105,7 @@
             }
         });
         Ok(SpoolState {
-            spool,
+            spool: Arc::new(Mutex::new(spool)),
             args,
             busy: false,
         })
@@ -114,7 +119,7 @@
     ) -> Result<(), ActorProcessingErr> {
         match message {
             SpoolMessage::Keep(bills, reply) => {
-                let kept = tokio::task::block_in_place(|| state.spool.add(bills));
+                let kept = state.on_disk(|spool| spool.add(bills)).await?;
                 let failed = matches!(kept, Err(SpoolError::Io { .. }));
                 // A caller that no longer waits resends; the bill is kept all the same.
                 let _ = reply.send(kept);
@@ -127,12 +132,12 @@
             SpoolMessage::Agreed(count) => {
                 state.busy = false;
                 if count > 0 {
-                    tokio::task::block_in_place(|| state.spool.agreed(count))?;
+                    state.on_disk(move |spool| spool.agreed(count)).await??;
                 }
             }
             SpoolMessage::Closed(status, holders) => {
                 for holder in holders {
-                    state.seal(&status, holder)?;
+                    state.seal(&status, holder).await?;
                 }
             }
         }
@@ -141,13 +146,28 @@
 }
 
 impl SpoolState {
+    /// Does what waits for the disk on a thread of its own.
+    async fn on_disk<T: Send + 'static>(
+        &self,
+        work: impl FnOnce(&mut Spool) -> T + Send + 'static,
+    ) -> Result<T, ActorProcessingErr> {
+        let spool = Arc::clone(&self.spool);
+        let done = tokio::task::spawn_blocking(move || work(&mut lock(&spool)));
+        Ok(done.await?)
+    }
+
     /// Starts a round of handing in, unless one is under way.
     fn round(&mut self, myself: ActorRef<SpoolMessage>) {
         if self.busy {
             return;
         }
         self.busy = true;
-        let batch: Vec<Bill> = self.spool.bills().iter().take(BATCH).cloned().collect();
+        let batch: Vec<Bill> = lock(&self.spool)
+            .bills()
+            .iter()
+            .take(BATCH)
+            .cloned()
+            .collect();
         let client = self.args.client.clone();
         let replica = self.args.replica.clone();
         tokio::spawn(async move {
@@ -161,8 +181,9 @@
     }
 
     /// Seals a holder on this disk, and tells the quorum when no bill of it is left here.
-    fn seal(&mut self, status: &ReplicaStatus, holder: Holder) -> Result<(), SpoolError> {
-        let empty = tokio::task::block_in_place(|| self.spool.seal(&holder))?;
+    async fn seal(&self, status: &ReplicaStatus, holder: Holder) -> Result<(), ActorProcessingErr> {
+        let sealed = holder.clone();
+        let empty = self.on_disk(move |spool| spool.seal(&sealed)).await??;
         if !empty {
             return Ok(());
         }
@@ -180,6 +201,10 @@
     }
 }
 
+fn lock(spool: &Mutex<Spool>) -> MutexGuard<'_, Spool> {
+    spool.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Submits bills. Returns how many the quorum has: all or none.
 async fn hand_in(client: &ControlClient, bills: Vec<Bill>) -> usize {
     let count = bills.len();
--- a/crates/fleet/src/gateway/front.rs
+++ b/crates/fleet/src/gateway/front.rs
@@ -257,6 +257,17 @@
         })
     }
 
+    /// Has the first allotments of all budgets drawn before requests need them.
+    pub fn expect_budgets(&self) {
+        let routes = self.routes.current();
+        if let (Some(routes), Some(allotment)) = (routes, self.wallet.allotment()) {
+            let plan = routes.index.plan();
+            let workspaces = plan.workspaces.iter().flatten();
+            let budgets = workspaces.filter(|spec| spec.prepaid.is_some());
+            allotment.expect(budgets.map(|spec| Budget::from(spec.name.as_str())));
+        }
+    }
+
     /// Number of routers that share the retry budgets, this one included.
     pub fn routers(&self) -> usize {
         self.nodes.count(Role::Router)
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -57,12 +57,12 @@
 use crate::settings::Settings;
 use crate::timer::Timer;
 
-/// How far ahead a router draws: it serves from its allotments while it can't reach the ledger, for
-/// seconds and at several times the usual demand, so it holds as much as the ledger spares.
+/// How far ahead a router draws, and what it may spend without a report: it serves from its
+/// allotments through a partition of some nine seconds, with a third to spare.
 const PACE: Pace = Pace {
-    step: Tokens(4_000),
+    step: Tokens(20_000),
     ahead: 60,
-    whole: true,
+    cover: 12,
     ample: Millis(400),
     scarce: Millis(200),
     fade: Millis(5_000),
@@ -359,6 +359,7 @@
 async fn chores(front: Arc<Front>) {
     let mut ticks = front.timer.every(CHORE_PERIOD);
     while ticks.recv().await.is_some() {
+        front.expect_budgets();
         // Upstreams that can't be asked give no probes.
         front.upstreams.tick();
         front.pool.expire();
