--- a/crates/core/src/ledger/pace.rs
+++ b/crates/core/src/ledger/pace.rs
@@ -11,8 +11,9 @@
     /// Seconds of recent spending that are drawn ahead. The ledger grants less as a budget nears
     /// its end.
     pub ahead: u64,
-    /// Seconds of recent spending that may go without a report, besides the largest reservations of
-    /// late. It carries a holder through a partition, and is unknown when the holder is lost.
+    /// Seconds of recent spending that may go without a report, besides what is reserved. It carries
+    /// a holder through a partition, and is unknown when the holder is lost. If zero, the exposure
+    /// follows the largest reservations of late.
     pub cover: u64,
     /// Time between reports.
     pub ample: Millis,
--- a/crates/core/src/ledger/purse.rs
+++ b/crates/core/src/ledger/purse.rs
@@ -22,6 +22,8 @@
 pub struct Reservation {
     budget: Budget,
     amount: Tokens,
+    /// Part of it that comes out of other holders' gifts.
+    gift: Tokens,
 }
 
 impl Reservation {
@@ -134,10 +136,16 @@
             return Err(Short::Allotment(worst));
         }
         let row = self.rows.entry(budget.clone()).or_default();
-        row.reserve(now, worst)?;
+        let gift = row.gift.min(worst);
+        let own = worst.saturating_sub(gift);
+        if own > Tokens::ZERO {
+            row.reserve(now, own)?;
+        }
+        row.gift = row.gift.saturating_sub(gift);
         Ok(Reservation {
             budget: budget.clone(),
             amount: worst,
+            gift,
         })
     }
 
@@ -146,9 +154,41 @@
     /// The bill is safe once a control replica has it on disk. A reply that the bill was merged
     /// changes nothing here: the ledger counts its tokens as wasted.
     pub fn settle(&mut self, held: Reservation, used: Tokens, wasted: Tokens) {
-        if let Some(row) = self.rows.get_mut(&held.budget) {
-            row.settle(held.amount, used, wasted);
+        let Some(row) = self.rows.get_mut(&held.budget) else {
+            return;
+        };
+        // The givers have charged the gift already, so it pays first for what has no bill here.
+        let own = held.amount.saturating_sub(held.gift);
+        let given = held.gift.min(wasted);
+        row.gift += held.gift.saturating_sub(given);
+        row.settle(own, used, wasted.saturating_sub(given));
+    }
+
+    /// Gives tokens to another holder: at most three quarters of what is free and at least `least`, or
+    /// nothing. They count as spent here.
+    pub fn give(&mut self, budget: &Budget, least: Tokens, most: Tokens) -> Tokens {
+        let spare = Tokens(self.free(budget).0 / 4 * 3).min(most);
+        let Some(row) = self.rows.get_mut(budget) else {
+            return Tokens::ZERO;
+        };
+        let amount = spare.min(row.room());
+        if self.left || amount < least {
+            return Tokens::ZERO;
         }
+        row.settle(Tokens::ZERO, Tokens::ZERO, amount);
+        amount
+    }
+
+    /// What is lacking for a request of this size.
+    pub fn lacking(&self, budget: &Budget, worst: Tokens) -> Tokens {
+        self.rows
+            .get(budget)
+            .map_or(worst, |row| row.lacking(worst))
+    }
+
+    /// Takes in what another holder gave.
+    pub fn receive(&mut self, budget: &Budget, amount: Tokens) {
+        self.rows.entry(budget.clone()).or_default().gift += amount;
     }
 
     /// Ends a reservation of an attempt that provably produced `wasted` tokens and is not billed.
--- a/crates/core/src/ledger/row.rs
+++ b/crates/core/src/ledger/row.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub(super) struct Row {
     pub reserved: Tokens,
+    /// Tokens that another holder has given, charged there.
+    pub gift: Tokens,
     granted: Tokens,
     returned: Tokens,
     billed: Tokens,
@@ -114,6 +116,11 @@
         self.returned + self.billed + self.wasted + self.reserved
     }
 
+    /// What may still be spent without a report.
+    pub fn room(&self) -> Tokens {
+        self.limit.saturating_sub(self.exposed())
+    }
+
     /// Tokens that a crash now would leave unaccounted for.
     fn exposed(&self) -> Tokens {
         self.reserved + self.wasted.saturating_sub(self.acked)
@@ -122,7 +129,8 @@
     /// Whether the row has never held anything and waits for nothing. Other rows stay: their counts
     /// are cumulative.
     pub fn is_blank(&self, now: Millis) -> bool {
-        let is_empty = self.granted == Tokens::ZERO && self.need == Tokens::ZERO;
+        let held = self.granted + self.need + self.gift;
+        let is_empty = held == Tokens::ZERO;
         let is_answered = self.last.as_ref().is_none_or(|last| last.answered);
         let is_fresh = self
             .word
@@ -156,6 +164,12 @@
         })
     }
 
+    /// What is lacking for a request of this size.
+    pub fn lacking(&self, worst: Tokens) -> Tokens {
+        let own = self.free().min(self.room());
+        worst.saturating_sub(self.gift + own)
+    }
+
     pub fn settle(&mut self, amount: Tokens, used: Tokens, wasted: Tokens) {
         self.reserved = self.reserved.saturating_sub(amount);
         self.billed += used;
@@ -188,7 +202,7 @@
         fault: Option<Fault>,
     ) -> DrawRow {
         self.hand_back(now, pace);
-        let exposure = self.wished_exposure(pace);
+        let exposure = self.wished_exposure(now, pace);
         self.limit = self.limit.min(exposure);
         self.last = Some(Sent {
             seq,
@@ -224,7 +238,8 @@
         if now < last.at + RETRY_MILLIS {
             return false;
         }
-        let is_short = self.need > Tokens::ZERO || self.peak.doubled() > self.limit;
+        let is_tight = pace.cover == 0 && self.peak.doubled() > self.limit;
+        let is_short = self.need > Tokens::ZERO || is_tight;
         let has_idle = self.recall.min(self.idle()) > Tokens::ZERO;
         is_short || has_idle || now >= last.at + Millis(self.interval(now, pace).0 / part)
     }
@@ -275,8 +290,17 @@
         self.recall = Tokens::ZERO;
     }
 
-    fn wished_exposure(&mut self, pace: &Pace) -> Tokens {
-        let wished = self.peak.doubled() + self.rate.over(pace.cover);
+    fn wished_exposure(&mut self, now: Millis, pace: &Pace) -> Tokens {
+        if pace.cover > 0 {
+            let ahead = match self.rate.is_young(now, pace.fade) {
+                // Too little is known of the demand yet.
+                true => Tokens(self.free().0 / 2),
+                false => Tokens::ZERO,
+            };
+            let cover = self.rate.over(pace.cover).max(ahead);
+            return self.exposed() + self.need + cover;
+        }
+        let wished = self.peak.doubled();
         let steps = wished.0.div_ceil(EXPOSURE_STEP.0).max(1);
         let wished = Tokens(EXPOSURE_STEP.0.saturating_mul(steps));
         wished.max(self.exposed())
@@ -358,6 +382,12 @@
         self.spent = spent;
     }
 
+    /// Whether the rate is known for less than twice the span over which older spending fades.
+    fn is_young(&self, now: Millis, fade: Millis) -> bool {
+        let start = self.start.unwrap_or(now);
+        now < start + fade + fade
+    }
+
     fn per_second(&self) -> Tokens {
         Tokens(self.milli / 1_000)
     }
--- a/crates/fleet/src/controllers/allotment.rs
+++ b/crates/fleet/src/controllers/allotment.rs
@@ -41,9 +41,6 @@
 const DRAW_WITHIN: Duration = Duration::from_millis(500);
 const LEAVE_WITHIN: Duration = Duration::from_secs(3);
 const WAIT: Millis = Millis(3_000);
-
-/// At most one in so many of the free tokens is given to another router at a time.
-const GIVE_PART: u64 = 2;
 const FIRST_PAUSE: Duration = Duration::from_millis(4);
 const MOST_PAUSE: Duration = Duration::from_millis(200);
 
@@ -184,20 +181,24 @@
         self.purse().release(held, spent);
     }
 
-    /// Gives a part of the free tokens of a budget away for good; nothing if it can't be spared.
-    pub fn give(&self, budget: &Budget, amount: Tokens) -> Tokens {
-        let now = self.timer.now();
-        let mut purse = self.purse();
-        if purse.free(budget).0 / GIVE_PART < amount.0 {
-            return Tokens::ZERO;
-        }
-        match purse.reserve(now, budget, amount) {
-            Ok(held) => {
-                purse.release(held, amount);
-                amount
-            }
-            Err(_) => Tokens::ZERO,
-        }
+    /// See [`Purse::give`].
+    pub fn give(&self, budget: &Budget, least: Tokens, most: Tokens) -> Tokens {
+        self.purse().give(budget, least, most)
+    }
+
+    /// See [`Purse::lacking`].
+    pub fn lacking(&self, budget: &Budget, worst: Tokens) -> Tokens {
+        self.purse().lacking(budget, worst)
+    }
+
+    /// See [`Purse::receive`].
+    pub fn receive(&self, budget: &Budget, amount: Tokens) {
+        self.purse().receive(budget, amount);
+    }
+
+    /// Whether the ledger answered the last report.
+    pub fn is_answered(&self) -> bool {
+        self.rounds.borrow().answered
     }
 
     /// See [`Purse::release`].
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -9,6 +9,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use chestnutnotch_core::id::DataCentre;
 use chestnutnotch_core::map::Set;
 use chestnutnotch_core::roster::Fact;
 use chestnutnotch_core::roster::News as Urgency;
@@ -82,6 +83,11 @@
         self.roster().reseed(seeds);
     }
 
+    /// Data centre of this node.
+    pub fn centre(&self) -> DataCentre {
+        self.roster().own().centre.clone()
+    }
+
     /// Number of live nodes with a role, this one included.
     pub fn count(&self, role: Role) -> usize {
         self.roster().count(self.now(), role)
--- a/crates/fleet/src/edges/rpc/client.rs
+++ b/crates/fleet/src/edges/rpc/client.rs
@@ -368,6 +368,16 @@
         self.lock().leader
     }
 
+    /// Has the next call begin with another replica than a silent one: this call may have no time left
+    /// to try it.
+    fn pass_over(&self, silent: &Replica) {
+        let mut known = self.lock();
+        let led = known.all.get(known.leader).map(|replica| replica.address);
+        if led == Some(silent.address) {
+            known.leader = (known.leader + 1) % known.all.len().max(1);
+        }
+    }
+
     /// Remembers who leads.
     pub(super) fn led_by(&self, leader: Option<SocketAddr>) -> Option<usize> {
         let leader = leader?;
@@ -395,6 +405,7 @@
                 Ok(Err(_)) => Tried::Failed,
                 Err(_) => {
                     replica.renew();
+                    self.pass_over(&replica);
                     Tried::Failed
                 }
             };
--- a/crates/fleet/src/edges/rpc/node.rs
+++ b/crates/fleet/src/edges/rpc/node.rs
@@ -49,8 +49,8 @@
 
 /// Gives up parts of an allotment.
 pub trait Lender: Send + Sync + 'static {
-    /// Takes an amount out of the own allotment, or nothing if it can't be spared.
-    fn lend(&self, budget: &Budget, amount: Tokens) -> Tokens;
+    /// Takes at least `least` and at most `most` out of the own allotment, or nothing.
+    fn lend(&self, budget: &Budget, least: Tokens, most: Tokens) -> Tokens;
 }
 
 /// Lends nothing.
@@ -58,7 +58,7 @@
 pub struct NoLender;
 
 impl Lender for NoLender {
-    fn lend(&self, _budget: &Budget, _amount: Tokens) -> Tokens {
+    fn lend(&self, _budget: &Budget, _least: Tokens, _most: Tokens) -> Tokens {
         Tokens::ZERO
     }
 }
@@ -96,8 +96,8 @@
         request: Request<proto::LendRequest>,
     ) -> Result<Response<proto::LendReply>, Status> {
         let request = request.into_inner();
-        let amount = Tokens(request.amount);
-        let lent = self.lender.lend(&request.budget.into(), amount);
+        let (least, most) = (Tokens(request.least), Tokens(request.most));
+        let lent = self.lender.lend(&request.budget.into(), least, most);
         Ok(Response::new(proto::LendReply { amount: lent.0 }))
     }
 }
@@ -138,15 +138,17 @@
 pub async fn lend(
     to: SocketAddr,
     budget: &Budget,
-    amount: Tokens,
+    least: Tokens,
+    most: Tokens,
     within: Duration,
 ) -> Result<Tokens, NodeError> {
     let request = proto::LendRequest {
         budget: budget.to_string(),
-        amount: amount.0,
+        least: least.0,
+        most: most.0,
     };
     let reply = call(to, within, async |mut node| node.lend(request).await).await?;
-    Ok(Tokens(reply.amount.min(amount.0)))
+    Ok(Tokens(reply.amount.min(most.0)))
 }
 
 type Client = NodeClient<tonic::transport::Channel>;
--- a/crates/fleet/src/gateway/charge.rs
+++ b/crates/fleet/src/gateway/charge.rs
@@ -1,5 +1,6 @@
 //! Tokens of a pass-through request: set aside at its largest, charged by what was delivered.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use chestnutnotch_core::roster::Role;
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::unit::Tokens;
+use rand::seq::SliceRandom;
 
 use crate::controllers::allotment::Allotment;
 use crate::controllers::nodes::Nodes;
@@ -26,8 +28,22 @@
 /// Longest wait for another router's tokens: a connection and a round trip within a region.
 const LEND_WITHIN: Duration = Duration::from_millis(60);
 
-/// Routers that are asked for tokens before a request is refused.
-const LENDERS: usize = 3;
+/// Routers that are asked for tokens before a request is refused: together they hold most of what
+/// there is, at a few milliseconds each.
+const LENDERS: usize = 6;
+
+/// Less than this is not worth a call.
+const LEAST_LOAN: Tokens = Tokens(500);
+
+/// Part of a request's time that it waits for the router to join: joining takes a second or two, and
+/// an answer that is late is worth more than a refusal.
+const JOIN_WAIT_PART: u64 = 3;
+
+/// Time between two looks at whether the router has joined.
+const JOIN_LOOK: Duration = Duration::from_millis(20);
+
+/// Tokens are borrowed for so many requests at once, if the lender can spare them.
+const BORROWED_REQUESTS: u64 = 3;
 
 /// The allotments of this router, once it has joined. Cheap to clone.
 #[derive(Clone, Debug)]
@@ -59,28 +75,34 @@
         self.allotment.get()
     }
 
-    /// Sets the most that a request can cost aside.
+    /// Sets the most that a request can cost aside. `left` is the time that its answer may take.
     ///
     /// # Errors
     ///
     /// [`Refusal::Spent`] if the ledger said a moment ago that the budget can't pay,
     /// [`Refusal::Short`].
-    pub async fn charge(&self, budget: &Budget, prompt: &Prompt) -> Result<Charge, Refusal> {
-        let allotment = self.allotment.get().ok_or(Refusal::Starting)?;
+    pub async fn charge(
+        &self,
+        budget: &Budget,
+        prompt: &Prompt,
+        left: Millis,
+    ) -> Result<Charge, Refusal> {
+        let allotment = self.filled(left).await.ok_or(Refusal::Starting)?;
         let worst = prompt.tokens + prompt.most;
-        let until = self.timer.now() + GRANT_MILLIS;
+        let wait = match allotment.is_answered() {
+            true => GRANT_MILLIS,
+            // The ledger can't be reached: other routers are asked at once.
+            false => Millis::ZERO,
+        };
+        let until = self.timer.now() + wait;
         let held = match allotment.reserve(budget, worst, until).await {
-            Ok(held) => Some(held),
+            Ok(held) => held,
             Err(Failed::BudgetSpent) => return Err(Refusal::Spent),
-            Err(_) => None,
-        };
-        let source = match held {
-            Some(held) => Source::Own(held),
-            None => self.borrow(budget, worst).await?,
+            Err(_) => self.borrow(allotment, budget, worst).await?,
         };
         Ok(Charge {
             wallet: self.clone(),
-            source: Some(source),
+            held: Some(held),
             prompt: prompt.tokens,
             most: prompt.most,
             sent: false,
@@ -88,40 +110,61 @@
         })
     }
 
-    /// Asks other routers for the tokens of one request.
-    async fn borrow(&self, budget: &Budget, worst: Tokens) -> Result<Source, Refusal> {
-        let mut routers = self.nodes.rpc(Role::Router);
-        rand::seq::SliceRandom::shuffle(routers.as_mut_slice(), &mut rand::rng());
-        for router in routers.into_iter().take(LENDERS) {
-            match node::lend(router, budget, worst, LEND_WITHIN).await {
-                Ok(lent) if lent >= worst => {
-                    log::info!(budget:% = budget, tokens = worst.0, from:% = router; "tokens borrowed");
-                    return Ok(Source::Borrowed);
+    /// The allotments; a request that comes before the router has joined waits for a part of its time.
+    async fn filled(&self, left: Millis) -> Option<&Allotment> {
+        let until = self.timer.now() + Millis(left.0 / JOIN_WAIT_PART);
+        while self.allotment.get().is_none() && self.timer.now() < until {
+            tokio::time::sleep(JOIN_LOOK).await;
+        }
+        self.allotment.get()
+    }
+
+    /// Asks other routers for the tokens of some requests like this one.
+    async fn borrow(
+        &self,
+        allotment: &Allotment,
+        budget: &Budget,
+        worst: Tokens,
+    ) -> Result<Reservation, Refusal> {
+        for router in self.lenders() {
+            let lacking = allotment.lacking(budget, worst);
+            let most = Tokens(lacking.0.saturating_mul(BORROWED_REQUESTS));
+            let least = lacking.min(LEAST_LOAN);
+            match node::lend(router, budget, least, most, LEND_WITHIN).await {
+                Ok(Tokens::ZERO) => continue,
+                Ok(lent) => {
+                    log::info!(budget:% = budget, tokens = lent.0, lacking = lacking.0, from:% = router; "tokens borrowed");
+                    allotment.receive(budget, lent);
+                }
+                Err(error) => {
+                    log::debug!(error:% = error; "no tokens borrowed");
+                    continue;
                 }
-                Ok(_) => {}
-                Err(error) => log::debug!(error:% = error; "no tokens borrowed"),
+            }
+            if let Ok(held) = allotment.reserve(budget, worst, Millis::ZERO).await {
+                return Ok(held);
             }
         }
         Err(Refusal::Short)
     }
-}
 
-impl Lender for Wallet {
-    fn lend(&self, budget: &Budget, amount: Tokens) -> Tokens {
-        let Some(allotment) = self.allotment.get() else {
-            return Tokens::ZERO;
-        };
-        allotment.give(budget, amount)
+    /// Live routers in random order, those of the own data centre first.
+    fn lenders(&self) -> Vec<SocketAddr> {
+        let centre = self.nodes.centre();
+        let mut live = self.nodes.live();
+        live.retain(|fact| fact.role == Role::Router);
+        live.shuffle(&mut rand::rng());
+        live.sort_by_key(|fact| fact.centre != centre);
+        live.truncate(LENDERS);
+        live.into_iter().map(|fact| fact.rpc).collect()
     }
 }
 
-/// Where the tokens of a request come from.
-#[derive(Debug)]
-enum Source {
-    /// Set aside here.
-    Own(Reservation),
-    /// Charged at the router that lent them; what is not used is lost.
-    Borrowed,
+impl Lender for Wallet {
+    fn lend(&self, budget: &Budget, least: Tokens, most: Tokens) -> Tokens {
+        let allotment = self.allotment.get();
+        allotment.map_or(Tokens::ZERO, |own| own.give(budget, least, most))
+    }
 }
 
 /// Tokens set aside for one request. Charged when dropped: the prompt once if the request was sent,
@@ -129,7 +172,7 @@
 #[derive(Debug)]
 pub struct Charge {
     wallet: Wallet,
-    source: Option<Source>,
+    held: Option<Reservation>,
     prompt: Tokens,
     most: Tokens,
     sent: bool,
@@ -164,9 +207,7 @@
 impl Drop for Charge {
     fn drop(&mut self) {
         let due = self.due();
-        if let (Some(Source::Own(held)), Some(allotment)) =
-            (self.source.take(), self.wallet.allotment.get())
-        {
+        if let (Some(held), Some(allotment)) = (self.held.take(), self.wallet.allotment.get()) {
             allotment.spend(held, due);
         }
     }
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -13,6 +13,7 @@
 use chestnutnotch_core::limit::WindowRules;
 use chestnutnotch_core::roster::NodeFact;
 use chestnutnotch_core::roster::Role;
+use chestnutnotch_core::route::Held;
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::unit::Tokens;
 use chestnutnotch_core::upstream::Rules;
@@ -34,6 +35,7 @@
 use crate::controllers::nodes::Nodes;
 use crate::controllers::plan;
 use crate::controllers::plan::Routes;
+use crate::controllers::replica::ReplicaHandle;
 use crate::controllers::upstreams::Upstreams;
 use crate::dialect::Dialect;
 use crate::edges::gossip::Gossip;
@@ -58,11 +60,11 @@
 use crate::timer::Timer;
 
 /// How far ahead a router draws, and what it may spend without a report: it serves from its
-/// allotments through a partition of some nine seconds, with a third to spare.
+/// allotments through a partition of some ten seconds.
 const PACE: Pace = Pace {
     step: Tokens(20_000),
     ahead: 60,
-    cover: 12,
+    cover: 10,
     ample: Millis(400),
     scarce: Millis(200),
     fade: Millis(5_000),
@@ -78,6 +80,12 @@
 /// need none.
 const JOIN_WITHIN: Duration = Duration::from_secs(2);
 
+/// Time between two accounts of the budgets in the leader's log.
+const ACCOUNT_PERIOD: Duration = Duration::from_secs(5);
+
+/// Most budgets in one account, the largest first.
+const ACCOUNT_LINES: usize = 24;
+
 /// Part of the grace time that is kept for the return of the allotments.
 const LEAVE_MILLIS: u64 = 600;
 
@@ -410,8 +418,9 @@
                 replica: Some(replica),
                 router: None,
             };
-            let control = Control::start(whole, rpc, timer).await?;
+            let control = Control::start(whole, rpc, timer.clone()).await?;
             tokio::spawn(introduce(base.nodes.clone(), control.replica().clone()));
+            tokio::spawn(account(control.replica().clone(), timer.clone()));
             tokio::spawn(meet(
                 base.nodes.clone(),
                 control.client().clone(),
@@ -440,7 +449,7 @@
 }
 
 /// Tells a replica where the others are.
-async fn introduce(nodes: Nodes, replica: crate::controllers::replica::ReplicaHandle) {
+async fn introduce(nodes: Nodes, replica: ReplicaHandle) {
     loop {
         replica.meet(nodes.rpc(Role::Control));
         // The next look comes anyway.
@@ -448,8 +457,27 @@
     }
 }
 
+/// Logs where the tokens of each budget are, at the leader.
+async fn account(replica: ReplicaHandle, timer: Timer) {
+    let mut ticks = timer.every(ACCOUNT_PERIOD);
+    while ticks.recv().await.is_some() {
+        let Ok(mut balances) = replica.read(|machine| machine.ledger().balances()).await else {
+            continue;
+        };
+        balances.sort_by_key(|balance| std::cmp::Reverse(balance.prepaid));
+        for balance in balances.into_iter().take(ACCOUNT_LINES) {
+            log::info!(
+                budget:% = balance.budget, prepaid = balance.prepaid.0,
+                unallotted = balance.unallotted.0, allotted = balance.allotted.0,
+                spent = (balance.wasted + balance.billed).0, unknown = balance.unknown.0;
+                "budget"
+            );
+        }
+    }
+}
+
 /// Tells the others which routes this replica has applied.
-async fn hold(mut plan: watch::Receiver<chestnutnotch_core::route::Held>, nodes: Nodes) {
+async fn hold(mut plan: watch::Receiver<Held>, nodes: Nodes) {
     loop {
         let version = plan.borrow_and_update().version;
         if version > 0 {
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -364,3 +364,25 @@
     assert_eq!(join(&client, 7).await, join(&group.client(), 7).await);
     assert_eq!(join(&client, 8).await.incarnation, Incarnation(2));
 });
+
+case!(silent_replica_is_left_by_the_next_call, |group| async {
+    // It takes connections, and answers nothing, as a frozen process does.
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut addresses = vec![silent.local_addr().unwrap()];
+    addresses.extend(&group.addresses);
+    let client = ControlClient::new(addresses, Operator::from("desk"));
+    let mut tries = 0;
+    loop {
+        let join = Command::Join(Join {
+            host: "desk-1".into(),
+            centre: "centre".into(),
+            nonce: 7,
+        });
+        // Shorter than the patience with one replica, as a report to the ledger is.
+        if client.submit(join, SHORT).await.is_ok() {
+            break;
+        }
+        tries += 1;
+        assert!(tries < 40, "no call left the silent replica");
+    }
+});
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -19,8 +19,11 @@
 pub struct LendRequest {
     #[prost(string, tag = "1")]
     pub budget: ::prost::alloc::string::String,
+    /// Less than this is of no use.
     #[prost(uint64, tag = "2")]
-    pub amount: u64,
+    pub least: u64,
+    #[prost(uint64, tag = "3")]
+    pub most: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LendReply {
