--- a/crates/core/src/ledger/row.rs
+++ b/crates/core/src/ledger/row.rs
@@ -12,6 +12,10 @@
 /// Least exposure asked for.
 const EXPOSURE_STEP: Tokens = Tokens(8_000);
 
+/// A holder may spend one in so many of its tokens without a report. As holders draw half of a budget
+/// ahead, the loss of all of them leaves five sixths of it.
+const EXPOSED_PART: u64 = 3;
+
 /// Wait for an answer before a report is repeated.
 const RESEND_MILLIS: Millis = Millis(500);
 
@@ -292,12 +296,13 @@
 
     fn wished_exposure(&mut self, now: Millis, pace: &Pace) -> Tokens {
         if pace.cover > 0 {
-            let ahead = match self.rate.is_young(now, pace.fade) {
+            // Part of the rest at most: after the loss of all holders, most of a budget is left.
+            let most = Tokens((self.free() + self.reserved).0 / EXPOSED_PART);
+            let cover = match self.rate.is_young(now, pace.fade) {
                 // Too little is known of the demand yet.
-                true => Tokens(self.free().0 / 2),
-                false => Tokens::ZERO,
+                true => most,
+                false => most.min(self.rate.over(pace.cover)),
             };
-            let cover = self.rate.over(pace.cover).max(ahead);
             return self.exposed() + self.need + cover;
         }
         let wished = self.peak.doubled();
@@ -365,7 +370,12 @@
 impl Rate {
     /// A mean over the whole past at first, in which older spending fades later.
     fn measure(&mut self, now: Millis, spent: Tokens, fade: Millis) {
-        let start = *self.start.get_or_insert(now);
+        if self.start.is_none() && spent == Tokens::ZERO {
+            // Idle time before the first request says nothing of the demand.
+            self.at = now;
+            return;
+        }
+        let start = *self.start.get_or_insert(self.at);
         let span = now.saturating_sub(self.at).0;
         if span < RATE_MILLIS.0 {
             return;
--- a/crates/fleet/src/gateway/charge.rs
+++ b/crates/fleet/src/gateway/charge.rs
@@ -42,9 +42,6 @@
 /// Time between two looks at whether the router has joined.
 const JOIN_LOOK: Duration = Duration::from_millis(20);
 
-/// Tokens are borrowed for so many requests at once, if the lender can spare them.
-const BORROWED_REQUESTS: u64 = 3;
-
 /// The allotments of this router, once it has joined. Cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Wallet {
@@ -119,25 +116,29 @@
         self.allotment.get()
     }
 
-    /// Asks other routers for the tokens of some requests like this one.
+    /// Asks other routers for what a request lacks, and no more: what is borrowed and not used is lost.
     async fn borrow(
         &self,
         allotment: &Allotment,
         budget: &Budget,
         worst: Tokens,
     ) -> Result<Reservation, Refusal> {
+        let (mut empty, mut failed) = (0, 0);
         for router in self.lenders() {
             let lacking = allotment.lacking(budget, worst);
-            let most = Tokens(lacking.0.saturating_mul(BORROWED_REQUESTS));
             let least = lacking.min(LEAST_LOAN);
-            match node::lend(router, budget, least, most, LEND_WITHIN).await {
-                Ok(Tokens::ZERO) => continue,
+            match node::lend(router, budget, least, lacking, LEND_WITHIN).await {
+                Ok(Tokens::ZERO) => {
+                    empty += 1;
+                    continue;
+                }
                 Ok(lent) => {
                     log::info!(budget:% = budget, tokens = lent.0, lacking = lacking.0, from:% = router; "tokens borrowed");
                     allotment.receive(budget, lent);
                 }
                 Err(error) => {
                     log::debug!(error:% = error; "no tokens borrowed");
+                    failed += 1;
                     continue;
                 }
             }
@@ -145,6 +146,8 @@
                 return Ok(held);
             }
         }
+        let lacking = allotment.lacking(budget, worst).0;
+        log::info!(budget:% = budget, worst = worst.0, lacking, empty, failed; "no tokens to borrow");
         Err(Refusal::Short)
     }
 
