--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -60,11 +60,11 @@
 use crate::timer::Timer;
 
 /// How far ahead a router draws, and what it may spend without a report: it serves from its
-/// allotments through a partition, in full for about five seconds.
+/// allotments through a partition, in full for about eight seconds.
 const PACE: Pace = Pace {
     step: Tokens(20_000),
     ahead: 60,
-    cover: 5,
+    cover: 8,
     ample: Millis(400),
     scarce: Millis(200),
     fade: Millis(5_000),
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -183,6 +183,19 @@
     }
 }
 
+impl DiscoverySettings {
+    /// Settings of a replica in a group that keeps itself whole. Its timers are short, as nobody else
+    /// watches the group, and its replicas are a few milliseconds apart.
+    pub fn replica(self, listen: SocketAddr, data: PathBuf) -> ReplicaSettings {
+        ReplicaSettings {
+            election: QUICK_ELECTION_MILLIS,
+            heartbeat: QUICK_HEARTBEAT_MILLIS,
+            discovery: Some(self),
+            ..ReplicaSettings::new(listen, data)
+        }
+    }
+}
+
 impl RouterSettings {
     /// Defaults for all but the addresses.
     pub fn new(listen: SocketAddr, rpc: SocketAddr) -> Self {
@@ -200,6 +213,9 @@
 
 const ELECTION_MILLIS: u64 = 800;
 const HEARTBEAT_MILLIS: u64 = 200;
+/// Four heartbeats, each of which may be late by a slow disk's sync.
+const QUICK_ELECTION_MILLIS: u64 = 500;
+const QUICK_HEARTBEAT_MILLIS: u64 = 125;
 const SNAPSHOT_ENTRIES: u64 = 10_000;
 const BODY_BYTES: usize = 4 << 20;
 const RECORD_BYTES: usize = 64 << 10;
