--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -23,6 +23,8 @@
     pub fanout: usize,
     /// A node that was not heard of for so long does not count as live.
     pub silent: Millis,
+    /// Added to `silent` for each node known: the slow round takes longer the more there are.
+    pub more: Millis,
     /// A node that was not heard of for so long is forgotten.
     pub forget: Millis,
     /// Without any packet for so long, a node asks for all that others know.
@@ -37,6 +39,7 @@
         Self {
             fanout: 2,
             silent: Millis(3_000),
+            more: Millis(60),
             forget: Millis(120_000),
             deaf: Millis(1_000),
             reach: 4,
@@ -220,7 +223,9 @@
     }
 
     fn is_live(&self, now: Millis, known: &Known) -> bool {
-        now < known.heard + self.rules.silent && !known.fact.leaving
+        let nodes = self.nodes.len() as u64;
+        let silent = self.rules.silent + Millis(nodes * self.rules.more.0);
+        now < known.heard + silent && !known.fact.leaving
     }
 
     /// The other nodes that were heard of lately and are not about to stop.
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -112,7 +112,7 @@
     /// Whether the request may have run.
     pub ran: bool,
     /// The upstream's own answer, to be passed on if it was the last.
-    pub answer: Option<Response<ReplyBody>>,
+    pub answer: Option<Box<Response<ReplyBody>>>,
 }
 
 impl Miss {
@@ -168,7 +168,7 @@
 fn finish(job: &Job, miss: Miss) -> Response<ReplyBody> {
     if let Some(answer) = miss.answer {
         job.log(answer.status(), "passed_on");
-        return answer;
+        return *answer;
     }
     let refusal = match (job.runs, miss.refusal) {
         (0, refusal) => refusal,
@@ -424,7 +424,7 @@
         return Err(Miss {
             refusal: Refusal::Lost,
             ran: true,
-            answer: Some(response),
+            answer: Some(Box::new(response)),
         });
     }
     Ok(Got::Whole(response))
--- a/crates/fleet/tests/support/control.rs
+++ b/crates/fleet/tests/support/control.rs
@@ -267,6 +267,13 @@
         Ok(Response::new(Box::pin(first.chain(rest))))
     }
 
+    async fn plan(
+        &self,
+        _request: Request<proto::PlanRequest>,
+    ) -> Result<Response<proto::PlanReply>, Status> {
+        Ok(Response::new(proto::PlanReply::default()))
+    }
+
     async fn report(
         &self,
         _request: Request<proto::ReportRequest>,
