--- a/crates/fleet/src/gateway/front.rs
+++ b/crates/fleet/src/gateway/front.rs
@@ -158,8 +158,14 @@
             Err(error) => return self.refuse(&error.into(), Some(&route), "", start),
         };
         let id = ask.id.clone();
-        let admitted = self.admit(flight, start, head, ask, body, routes, &route);
-        match admitted.await {
+        let arrival = Arrival {
+            flight,
+            start,
+            head,
+            ask,
+            body,
+        };
+        match self.admit(arrival, &routes, &route).await {
             Ok(job) => exchange::run(job).await,
             Err(refusal) => self.refuse(&refusal, Some(&route), &id, start),
         }
@@ -197,18 +203,20 @@
         Ok((routes, route))
     }
 
-    #[allow(clippy::too_many_arguments)]
     async fn admit(
         self: &Arc<Self>,
-        flight: Flight,
-        start: Millis,
-        head: Parts,
-        ask: Ask,
-        body: Incoming,
-        routes: Arc<InForce>,
+        arrival: Arrival,
+        routes: &InForce,
         route: &Arc<Route>,
     ) -> Result<Job, Refusal> {
-        let workspace = caller(&routes, route, &ask)?;
+        let Arrival {
+            flight,
+            start,
+            head,
+            ask,
+            body,
+        } = arrival;
+        let workspace = caller(routes, route, &ask)?;
         let within = ask
             .within
             .map_or(route.timeout, |within| within.min(route.timeout));
@@ -274,6 +282,15 @@
     }
 }
 
+/// A request whose route is known.
+struct Arrival {
+    flight: Flight,
+    start: Millis,
+    head: Parts,
+    ask: Ask,
+    body: Incoming,
+}
+
 /// The workspace of a request; none on a route without keys.
 fn caller<'a>(
     routes: &'a InForce,
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -56,6 +56,7 @@
 use crate::settings::GatewaySettings;
 use crate::settings::NodeSettings;
 use crate::settings::RegistrySettings;
+use crate::settings::ReplicaSettings;
 use crate::settings::Settings;
 use crate::timer::Timer;
 
@@ -166,56 +167,22 @@
         let rpc = bind(own.rpc).await?;
         let metrics = Arc::new(Metrics::new());
         let base = Base::start(own, Role::Router, &timer, &metrics).await?;
-        let wallet = Wallet::new(base.nodes.clone(), timer.clone());
-        let routes = Routes::start(plan::Parts {
-            dialect: Arc::clone(&dialect),
-            control: base.control.clone(),
-            nodes: base.nodes.clone(),
-            timer: timer.clone(),
-            metrics: Arc::clone(&metrics),
-        });
-        let rules = WindowRules {
-            share: settings.retries.share,
-            allowance: settings.retries.allowance,
-            window: Millis(settings.retries.window),
-        };
-        let lifecycle = Lifecycle::new(Arc::clone(&metrics));
-        let spent = settings.linger + LEAVE_MILLIS;
-        let front = Arc::new(Front {
-            routes: routes.clone(),
-            dialect: Arc::clone(&dialect),
-            lifecycle: lifecycle.clone(),
-            wallet: wallet.clone(),
-            upstreams: base.upstreams,
-            pool: Pool::default(),
-            nodes: base.nodes,
-            retries: Retries::new(rules),
-            close: Duration::from_millis(settings.grace.saturating_sub(spent)),
-            timer,
-            metrics: Arc::clone(&metrics),
-        });
+        let control = base.control.clone();
+        let front = Arc::new(front(settings, base, dialect, timer, metrics));
         let status = Arc::new(Status {
-            lifecycle,
-            ready: dialect.ready_path(),
-            metrics,
+            lifecycle: front.lifecycle.clone(),
+            ready: front.dialect.ready_path(),
+            metrics: Arc::clone(&front.metrics),
         });
         let mut answering = vec![spawn(ready, Arc::clone(&status)).0];
         if let Some(address) = own.metrics {
             answering.push(spawn(bind(address).await?, status).0);
         }
-        let node = NodeService::new(routes.held(), Arc::new(wallet));
-        tokio::spawn(
-            Server::builder()
-                .add_service(node.into_server())
-                .serve_with_incoming(TcpListenerStream::new(rpc)),
-        );
+        let node = NodeService::new(front.routes.held(), Arc::new(front.wallet.clone()));
+        tokio::spawn(serve_nodes(rpc, node));
         tokio::spawn(chores(Arc::clone(&front)));
-        tokio::spawn(open(
-            Arc::clone(&front),
-            base.control,
-            own.clone(),
-            getrandom::u64()?,
-        ));
+        let nonce = getrandom::u64()?;
+        tokio::spawn(open(Arc::clone(&front), control, own.clone(), nonce));
         Ok(Self {
             servers: vec![spawn(listener, Arc::clone(&front))],
             front,
@@ -254,6 +221,50 @@
     }
 }
 
+/// What serves callers, before it has routes or allotments.
+fn front(
+    settings: &GatewaySettings,
+    base: Base,
+    dialect: Arc<dyn Dialect>,
+    timer: Timer,
+    metrics: Arc<Metrics>,
+) -> Front {
+    let rules = WindowRules {
+        share: settings.retries.share,
+        allowance: settings.retries.allowance,
+        window: Millis(settings.retries.window),
+    };
+    let spent = settings.linger + LEAVE_MILLIS;
+    Front {
+        routes: Routes::start(plan::Parts {
+            dialect: Arc::clone(&dialect),
+            control: base.control,
+            nodes: base.nodes.clone(),
+            timer: timer.clone(),
+            metrics: Arc::clone(&metrics),
+        }),
+        dialect,
+        lifecycle: Lifecycle::new(Arc::clone(&metrics)),
+        wallet: Wallet::new(base.nodes.clone(), timer.clone()),
+        upstreams: base.upstreams,
+        pool: Pool::default(),
+        nodes: base.nodes,
+        retries: Retries::new(rules),
+        close: Duration::from_millis(settings.grace.saturating_sub(spent)),
+        timer,
+        metrics,
+    }
+}
+
+/// Answers calls of other nodes.
+async fn serve_nodes(listener: TcpListener, node: NodeService) {
+    let server = Server::builder().add_service(node.into_server());
+    let served = server.serve_with_incoming(TcpListenerStream::new(listener));
+    if let Err(error) = served.await {
+        log::error!(error:% = error; "calls of other nodes are no longer answered");
+    }
+}
+
 /// Opens the router for callers: routes first, then allotments, for which plain services don't wait.
 async fn open(front: Arc<Front>, control: ControlClient, own: NodeSettings, nonce: u64) {
     let joining = tokio::spawn(fund(Arc::clone(&front), control, own, nonce));
@@ -411,26 +422,7 @@
     }
     tokio::spawn(reseed(reload, base.nodes.clone()));
     let outcome = match settings.replica.clone() {
-        Some(replica) => {
-            let whole = Settings {
-                host: own.host(),
-                control: own.control.clone(),
-                replica: Some(replica),
-                router: None,
-            };
-            let control = Control::start(whole, rpc, timer.clone()).await?;
-            tokio::spawn(introduce(base.nodes.clone(), control.replica().clone()));
-            tokio::spawn(account(control.replica().clone(), timer.clone()));
-            tokio::spawn(meet(
-                base.nodes.clone(),
-                control.client().clone(),
-                own.control.clone(),
-            ));
-            let plan = control.replica().plan();
-            tokio::spawn(hold(plan.clone(), base.nodes.clone()));
-            let node = NodeService::new(plan, Arc::new(NoLender));
-            control.run(Some(node), stop).await
-        }
+        Some(replica) => replicate(own, replica, rpc, &base.nodes, timer, stop).await,
         None => {
             stop.await;
             Ok(())
@@ -441,6 +433,33 @@
     Ok(outcome?)
 }
 
+/// Runs the replica of a control host until `stop`.
+async fn replicate(
+    own: &NodeSettings,
+    replica: ReplicaSettings,
+    rpc: TcpListener,
+    nodes: &Nodes,
+    timer: Timer,
+    stop: impl Future<Output = ()> + Send,
+) -> Result<(), ServeError> {
+    let whole = Settings {
+        host: own.host(),
+        control: own.control.clone(),
+        replica: Some(replica),
+        router: None,
+    };
+    let control = Control::start(whole, rpc, timer.clone()).await?;
+    let replica = control.replica();
+    tokio::spawn(introduce(nodes.clone(), replica.clone()));
+    tokio::spawn(account(replica.clone(), timer));
+    let client = control.client().clone();
+    tokio::spawn(meet(nodes.clone(), client, own.control.clone()));
+    let plan = replica.plan();
+    tokio::spawn(hold(plan.clone(), nodes.clone()));
+    let node = NodeService::new(plan, Arc::new(NoLender));
+    control.run(Some(node), stop).await
+}
+
 async fn reseed(mut reload: watch::Receiver<RegistrySettings>, nodes: Nodes) {
     while reload.changed().await.is_ok() {
         let seeds = reload.borrow().node.seeds.clone();
