--- a/crates/fleet/src/gateway/charge.rs
+++ b/crates/fleet/src/gateway/charge.rs
@@ -72,7 +72,8 @@
         self.allotment.get()
     }
 
-    /// Sets the most that a request can cost aside. `left` is the time that its answer may take.
+    /// Sets the most that a request can cost aside. `id` is for the log, `left` the time
+    /// that its answer may take.
     ///
     /// # Errors
     ///
@@ -82,6 +83,7 @@
         &self,
         budget: &Budget,
         prompt: &Prompt,
+        id: &str,
         left: Millis,
     ) -> Result<Charge, Refusal> {
         let allotment = self.filled(left).await.ok_or(Refusal::Starting)?;
@@ -95,7 +97,7 @@
         let held = match allotment.reserve(budget, worst, until).await {
             Ok(held) => held,
             Err(Failed::BudgetSpent) => return Err(Refusal::Spent),
-            Err(_) => self.borrow(allotment, budget, worst).await?,
+            Err(_) => self.borrow(allotment, budget, worst, id).await?,
         };
         Ok(Charge {
             wallet: self.clone(),
@@ -122,6 +124,7 @@
         allotment: &Allotment,
         budget: &Budget,
         worst: Tokens,
+        id: &str,
     ) -> Result<Reservation, Refusal> {
         let (mut empty, mut failed) = (0, 0);
         for router in self.lenders() {
@@ -147,7 +150,12 @@
             }
         }
         let lacking = allotment.lacking(budget, worst).0;
-        log::info!(budget:% = budget, worst = worst.0, lacking, empty, failed; "no tokens to borrow");
+        log::info!(
+            target: "request",
+            id, budget:% = budget, worst = worst.0, lacking, empty, failed,
+            ledger = allotment.is_answered();
+            "no tokens to borrow"
+        );
         Err(Refusal::Short)
     }
 
--- a/crates/fleet/src/gateway/front.rs
+++ b/crates/fleet/src/gateway/front.rs
@@ -227,7 +227,7 @@
         let charge = match (budget, &ask.prompt) {
             (Some(spec), Some(prompt)) => {
                 let budget = Budget::from(spec.name.as_str());
-                Some(self.wallet.charge(&budget, prompt, within).await?)
+                Some(self.wallet.charge(&budget, prompt, &ask.id, within).await?)
             }
             _ => None,
         };
