--- /dev/null
+++ b/crates/core/tests/replica_seats.rs
@@ -0,0 +1,174 @@
+//! A group that keeps its number of voters by itself.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use chestnutnotch_core::id::ReplicaId;
+use chestnutnotch_core::replica::Campaign;
+use chestnutnotch_core::replica::Durable;
+use chestnutnotch_core::replica::Input;
+use chestnutnotch_core::replica::Members;
+use chestnutnotch_core::replica::Message;
+use chestnutnotch_core::replica::Node;
+use chestnutnotch_core::replica::Output;
+
+fn address(id: u64) -> SocketAddr {
+    format!("10.0.0.{id}:7000").parse().unwrap()
+}
+
+/// Nodes whose disks and links are instant.
+struct World {
+    nodes: BTreeMap<ReplicaId, Node>,
+    down: Vec<ReplicaId>,
+    queue: VecDeque<(ReplicaId, ReplicaId, Message)>,
+}
+
+impl World {
+    /// A group of the first three of `count` nodes, led by the first.
+    fn new(count: u64, seats: Option<usize>) -> Self {
+        let node = |id| {
+            let node = Node::new(ReplicaId(id), Durable::default()).seated(seats);
+            (ReplicaId(id), node)
+        };
+        let mut world = Self {
+            nodes: (1..=count).map(node).collect(),
+            down: Vec::new(),
+            queue: VecDeque::new(),
+        };
+        let members = Members::founders((1..=3).map(|id| (ReplicaId(id), address(id))));
+        world.step(ReplicaId(1), Input::Found(members));
+        world.step(ReplicaId(1), Input::Campaign(Campaign::Outright));
+        world.settle();
+        assert!(world.nodes[&ReplicaId(1)].leads());
+        world
+    }
+
+    fn step(&mut self, at: ReplicaId, input: Input) {
+        let mut out = Vec::new();
+        let Some(node) = self.nodes.get_mut(&at) else {
+            return;
+        };
+        node.step(input, &mut out);
+        let last = node.log().last();
+        node.step(Input::Synced(last), &mut out);
+        for output in out {
+            if let Output::Send { to, message, .. } = output {
+                self.queue.push_back((at, to, message));
+            }
+        }
+    }
+
+    fn settle(&mut self) {
+        while let Some((from, to, message)) = self.queue.pop_front() {
+            if !self.down.contains(&from) && !self.down.contains(&to) {
+                self.step(to, Input::Receive { from, message });
+            }
+        }
+    }
+
+    /// An election timeout at the leader, with a greeting of each node that hears nobody.
+    fn round(&mut self) {
+        let leader = ReplicaId(1);
+        let outside: Vec<ReplicaId> = self
+            .nodes
+            .keys()
+            .copied()
+            .filter(|id| !self.down.contains(id) && self.nodes[id].outside())
+            .collect();
+        for id in outside {
+            self.step(
+                leader,
+                Input::Greet {
+                    id,
+                    address: address(id.0),
+                },
+            );
+            self.settle();
+        }
+        self.step(leader, Input::Beat);
+        self.settle();
+        self.step(leader, Input::Check);
+        self.settle();
+    }
+
+    fn voters(&self) -> Vec<u64> {
+        self.nodes[&ReplicaId(1)]
+            .members()
+            .voters()
+            .map(|id| id.0)
+            .collect()
+    }
+
+    fn down(&mut self, id: u64) {
+        self.down.push(ReplicaId(id));
+    }
+}
+
+#[test]
+fn fourth_replica_follows_without_a_vote() {
+    let mut world = World::new(4, Some(3));
+    (0..20).for_each(|_| world.round());
+    assert_eq!(world.voters(), [1, 2, 3]);
+    assert!(
+        world.nodes[&ReplicaId(4)]
+            .members()
+            .learners()
+            .any(|id| id == ReplicaId(4))
+    );
+}
+
+#[test]
+fn silent_voter_is_replaced() {
+    let mut world = World::new(4, Some(3));
+    (0..5).for_each(|_| world.round());
+    world.down(3);
+    (0..2).for_each(|_| world.round());
+    assert_eq!(world.voters(), [1, 2, 3], "a restart is no loss");
+    (0..10).for_each(|_| world.round());
+    assert_eq!(world.voters(), [1, 2, 4]);
+}
+
+#[test]
+fn replaced_voter_comes_back_as_a_follower() {
+    let mut world = World::new(4, Some(3));
+    (0..5).for_each(|_| world.round());
+    world.down(3);
+    (0..12).for_each(|_| world.round());
+    world.down.clear();
+    // It heard nothing of its replacement, so it greets as one that hears no leader.
+    world.step(
+        ReplicaId(1),
+        Input::Greet {
+            id: ReplicaId(3),
+            address: address(3),
+        },
+    );
+    world.settle();
+    (0..5).for_each(|_| world.round());
+    assert_eq!(world.voters(), [1, 2, 4]);
+    assert!(world.nodes[&ReplicaId(3)].hears());
+}
+
+#[test]
+fn silent_voter_stays_without_a_replacement() {
+    let mut world = World::new(3, Some(3));
+    world.down(3);
+    (0..20).for_each(|_| world.round());
+    assert_eq!(world.voters(), [1, 2, 3]);
+}
+
+#[test]
+fn without_seats_every_learner_is_promoted() {
+    let mut world = World::new(4, None);
+    (0..10).for_each(|_| world.round());
+    assert_eq!(world.voters(), [1, 2, 3, 4]);
+    world.down(3);
+    (0..20).for_each(|_| world.round());
+    assert_eq!(
+        world.voters(),
+        [1, 2, 3, 4],
+        "nobody is removed for silence"
+    );
+}
