A control host finds itself when it leads

Cause: a control host that is no seed did not know its own address as a replica's. Once it led, all others named it, it knew nobody of that address, and its own calls found no quorum for good: seals of killed routers among them, so that all they held stayed unknown, and operators' calls there got 503. Ruled out: a spool that fails (12 seals of each other replica were agreed on), voters that are gone. Change: a leader that is named and not known is added; a control host's client always knows the host.

--- a/crates/fleet/src/edges/rpc/client.rs
+++ b/crates/fleet/src/edges/rpc/client.rs
@@ -378,11 +378,16 @@
         }
     }
 
-    /// Remembers who leads.
+    /// Remembers who leads. A leader that was not known is one from now on: a control host asks the
+    /// others, and they may name the host itself.
     pub(super) fn led_by(&self, leader: Option<SocketAddr>) -> Option<usize> {
         let leader = leader?;
         let mut known = self.lock();
-        let index = known.all.iter().position(|one| one.address == leader)?;
+        let found = known.all.iter().position(|one| one.address == leader);
+        let index = found.unwrap_or(known.all.len());
+        if found.is_none() {
+            known.all.push(Arc::new(Replica::new(leader)));
+        }
         known.leader = index;
         Some(index)
     }
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -342,7 +342,11 @@
         );
         let operator = Operator::from(own.name.as_str());
         let control = ControlClient::new(own.control.clone(), operator);
-        tokio::spawn(meet(nodes.clone(), control.clone(), own.control.clone()));
+        let mut always = own.control.clone();
+        if role == Role::Control && !always.contains(&own.rpc) {
+            always.push(own.rpc);
+        }
+        tokio::spawn(meet(nodes.clone(), control.clone(), always));
         Ok(Self {
             nodes,
             upstreams,
@@ -351,11 +355,11 @@
     }
 }
 
-/// Keeps a client's view of the control replicas up to date.
-async fn meet(nodes: Nodes, control: ControlClient, seeds: Vec<SocketAddr>) {
+/// Keeps a client's view of the control replicas up to date: those heard of, and `always`.
+async fn meet(nodes: Nodes, control: ControlClient, always: Vec<SocketAddr>) {
     let mut known = Vec::new();
     loop {
-        let found = with_seeds(nodes.rpc(Role::Control), &seeds);
+        let found = with_all(nodes.rpc(Role::Control), &always);
         if found != known {
             control.meet(&found);
             known = found;
@@ -365,10 +369,10 @@
     }
 }
 
-fn with_seeds(mut found: Vec<SocketAddr>, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
-    for seed in seeds {
-        if !found.contains(seed) {
-            found.push(*seed);
+fn with_all(mut found: Vec<SocketAddr>, always: &[SocketAddr]) -> Vec<SocketAddr> {
+    for address in always {
+        if !found.contains(address) {
+            found.push(*address);
         }
     }
     found
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -386,3 +386,25 @@
         assert!(tries < 40, "no call left the silent replica");
     }
 });
+
+case!(leader_that_others_name_is_found, |group| async {
+    let first = group.addresses[0];
+    // Each client knows one replica; two of them know only followers.
+    for address in group.addresses.clone() {
+        let client = ControlClient::new(vec![address], Operator::from("desk"));
+        let joined = client
+            .submit(
+                Command::Join(Join {
+                    host: "desk-1".into(),
+                    centre: "centre".into(),
+                    nonce: 7,
+                }),
+                WITHIN,
+            )
+            .await;
+        assert!(
+            joined.is_ok(),
+            "{address} of {first} and others: {joined:?}"
+        );
+    }
+});
