--- a/crates/core/src/ledger/row.rs
+++ b/crates/core/src/ledger/row.rs
@@ -297,7 +297,10 @@
     fn wished_exposure(&mut self, now: Millis, pace: &Pace) -> Tokens {
         if pace.cover > 0 {
             // Part of the rest at most: after the loss of all holders, most of a budget is left.
-            let most = Tokens((self.free() + self.reserved).0 / EXPOSED_PART);
+            // A new holder has nothing yet: the first step that it asks for counts, as the next report
+            // may find no ledger.
+            let held = (self.free() + self.reserved).max(pace.step);
+            let most = Tokens(held.0 / EXPOSED_PART);
             let cover = match self.rate.is_young(now, pace.fade) {
                 // Too little is known of the demand yet.
                 true => most,
