Killed routers' tokens are freed when a voter that was waited for is gone

Cause: a closed holder is freed when all voters have sealed it. A seal names the voters of its moment; where one of them had lost its disk, the last seal came while the old identity still counted as a voter, and nobody submitted another one after the group had replaced it. All that the holder held stayed unknown. Change: a replica submits a seal once more for holders that all voters of today have sealed. Test: a_lost_voter_is_not_waited_for (core), which can't pass without the new look-up.

--- a/crates/core/src/ledger/closing.rs
+++ b/crates/core/src/ledger/closing.rs
@@ -213,9 +213,28 @@
         holders.sort();
         holders
     }
+
+    /// Closed holders that wait for no seal of these voters, in order: the group was another one
+    /// when they were sealed. One more seal, of any of them, ends each.
+    pub fn sealed_by(&self, voters: &[ReplicaId]) -> Vec<Holder> {
+        let mut holders: Vec<Holder> = self
+            .holders
+            .iter()
+            .filter(|(_, standing)| standing.is_sealed_by(voters))
+            .map(|(holder, _)| holder.clone())
+            .collect();
+        holders.sort();
+        holders
+    }
 }
 
 impl Standing {
+    fn is_sealed_by(&self, voters: &[ReplicaId]) -> bool {
+        self.closed.as_ref().is_some_and(|closed| {
+            !closed.whole && voters.iter().all(|id| closed.sealed.contains(id))
+        })
+    }
+
     fn waits(&self, replica: ReplicaId) -> bool {
         self.closed
             .as_ref()
--- a/crates/core/src/machine/state.rs
+++ b/crates/core/src/machine/state.rs
@@ -95,6 +95,12 @@
         self.ledger.unsealed(replica)
     }
 
+    /// Closed holders that wait for no seal of these voters, as the group was another one when they
+    /// were sealed.
+    pub fn sealed_by(&self, voters: &[ReplicaId]) -> Vec<Holder> {
+        self.ledger.sealed_by(voters)
+    }
+
     /// Routers that have joined and neither left nor been retired or replaced.
     pub fn routers(&self) -> Vec<(RouterId, DataCentre)> {
         self.hosts.open()
--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -9,7 +9,9 @@
 use chestnutnotch_core::command::Refusal;
 use chestnutnotch_core::command::Reply;
 use chestnutnotch_core::command::Resolve;
+use chestnutnotch_core::command::Seal;
 use chestnutnotch_core::id::Holder;
+use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::ledger::Purse;
 use chestnutnotch_core::ledger::Short;
 use chestnutnotch_core::machine::Fault;
@@ -109,6 +111,31 @@
     assert_eq!(apply(&mut machine, leave), Reply::Done);
 }
 
+fn lost_voter_is_not_waited_for() {
+    let (mut machine, purse) = drawn(PREPAID);
+    let holder = purse.holder().clone();
+    apply(&mut machine, join("desk-1", 2));
+    let frozen = balance(&machine);
+    let [first, second, _] = REPLICAS;
+    let third = ReplicaId(99);
+    // The third voter lost its disk before it sealed; its successor seals as a learner.
+    for replica in [first, second, third] {
+        apply(&mut machine, seal(replica, &holder));
+    }
+    assert_eq!(balance(&machine), frozen);
+    assert_eq!(machine.sealed_by(&REPLICAS), vec![]);
+    let voters = vec![first, second, third];
+    assert_eq!(machine.sealed_by(&voters), vec![holder.clone()]);
+    let again = Seal {
+        replica: first,
+        holder,
+        voters: voters.clone(),
+    };
+    apply(&mut machine, Command::Seal(again));
+    assert!(balance(&machine).unknown < frozen.unknown);
+    assert_eq!(machine.sealed_by(&voters), vec![]);
+}
+
 fn closed_holder_draws_nothing() {
     let mut machine = machine(PREPAID);
     let mut purse = purse(&mut machine, "desk-1", 1);
@@ -255,6 +282,7 @@
     an_overflowing_top_up_is_refused: top_up_refuses_overflow();
     a_request_has_one_bill: one_bill_per_request();
     a_leaving_holder_returns_all: leave_returns_all();
+    a_lost_voter_is_not_waited_for: lost_voter_is_not_waited_for();
     a_closed_holder_is_refused: closed_holder_draws_nothing();
     a_crash_freezes_the_exposure: crash_frees_all_but_exposure();
     a_late_bill_is_taken: late_bill_of_closed_holder();
--- a/crates/fleet/src/controllers/spool.rs
+++ b/crates/fleet/src/controllers/spool.rs
@@ -223,12 +223,18 @@
     }
 }
 
-/// Holders that are closed and not sealed by this replica, as its own state shows.
+/// Holders that wait for a seal of this replica, as its own state shows: closed and not sealed by it, or
+/// sealed by all voters of today while a voter that is gone since was waited for.
 async fn unsealed(replica: &ReplicaHandle) -> Option<(ReplicaStatus, Vec<Holder>)> {
     let status = replica.status().await.ok()?;
     let id = status.id;
+    let voters = status.voters.clone();
     let holders = replica
-        .peek(move |machine| machine.unsealed(id))
+        .peek(move |machine| {
+            let mut holders = machine.unsealed(id);
+            holders.extend(machine.sealed_by(&voters));
+            holders
+        })
         .await
         .ok()?;
     (!holders.is_empty()).then_some((status, holders))
