Gossip: heartbeats are heard through many changes

Cause: each node that took new routes was urgent news to all others, six times over, and old copies stayed in the queue beside newer ones. With ninety nodes a storm of routes held heartbeats up for half a minute: routers counted most upstreams as silent and sent everything to those that had just started (whose start is urgent). Ruled out: the choice itself, acknowledgements that were lost, the crash. Failed try: urgent facts in the order of their arrival: a leave came 2.7 s late to one router (DRAIN broken).

--- a/crates/core/src/roster/fact.rs
+++ b/crates/core/src/roster/fact.rs
@@ -39,6 +39,18 @@
     },
 }
 
+impl Fact {
+    /// Whether it has the same subject as another one, so that the newer of them is enough.
+    pub(super) fn is_about(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Node(one), Self::Node(other)) => one.address == other.address,
+            (Self::Upstream(one), Self::Upstream(other)) => one.upstream == other.upstream,
+            (Self::Crash { .. }, Self::Crash { .. }) => self == other,
+            _ => false,
+        }
+    }
+}
+
 /// A node's account of itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct NodeFact {
--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -53,6 +53,9 @@
 /// Most packets to one node at one tick.
 const TICK_PACKETS: usize = 3;
 
+/// Facts of the slow round that each tick has room for, whatever is news.
+const SLOW_FACTS: usize = 4;
+
 /// Most nodes known at once.
 const NODES: usize = 4_096;
 
@@ -128,12 +131,13 @@
         if known.is_none() && self.nodes.len() >= NODES {
             return false;
         }
-        let is_change = known.is_none_or(|known| {
-            known.fact.start != fact.start
-                || known.fact.leaving != fact.leaving
-                || known.fact.plan < fact.plan
+        let is_standing = known.is_none_or(|known| {
+            known.fact.start != fact.start || known.fact.leaving != fact.leaving
         });
-        if is_change {
+        let is_ahead = known.is_none_or(|known| known.fact.plan < fact.plan);
+        let is_change = is_standing || is_ahead;
+        // Who else has the newest routes goes round slowly; each node tells its own neighbours.
+        if is_standing || fact.plan > self.highest() {
             self.hot.push(Fact::Node(fact.clone()), News::Urgent);
         }
         let known = Known { fact, heard: now };
@@ -141,6 +145,12 @@
         is_change
     }
 
+    /// Highest version of the routes that any known node has, this one included.
+    fn highest(&self) -> u64 {
+        let others = self.nodes.values().map(|known| known.fact.plan);
+        others.max().unwrap_or(0).max(self.own.plan)
+    }
+
     /// Notes that a packet arrived.
     pub fn touched(&mut self, now: Millis) {
         self.heard = Some(now);
@@ -165,12 +175,12 @@
         let asks = self
             .heard
             .is_none_or(|heard| now >= heard + self.rules.deaf);
-        let hot = self.hot.take(PACKET_FACTS * TICK_PACKETS - 1);
+        let hot = self.hot.take(PACKET_FACTS * TICK_PACKETS - SLOW_FACTS - 1);
         let mut packets = Vec::new();
         for target in targets {
             let mut facts = vec![Fact::Node(self.own.clone())];
             facts.extend(hot.iter().cloned());
-            let room = PACKET_FACTS.saturating_sub(facts.len());
+            let room = PACKET_FACTS.saturating_sub(facts.len()).max(SLOW_FACTS);
             facts.extend(self.slice(room, cold));
             packets.extend(split(target, asks, facts));
         }
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -1,15 +1,22 @@
 //! Nodes find each other from the seeds, through losses and partitions.
 #![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use chestnutnotch_core::roster::Fact;
+use chestnutnotch_core::roster::News;
 use chestnutnotch_core::roster::NodeFact;
 use chestnutnotch_core::roster::Packet;
 use chestnutnotch_core::roster::Role;
 use chestnutnotch_core::roster::Roster;
 use chestnutnotch_core::roster::RosterRules;
+use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::unit::Millis;
+use chestnutnotch_core::upstream::Announcement;
+use chestnutnotch_core::upstream::Load;
+use chestnutnotch_core::upstream::Offer;
+use chestnutnotch_core::upstream::Phase;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -40,8 +47,27 @@
     }
 }
 
+fn upstream(number: usize, seq: u64) -> Announcement {
+    Announcement {
+        upstream: format!("engine-{number}").into(),
+        incarnation: Incarnation(1),
+        seq,
+        address: address(1_000 + number),
+        centre: "centre-0".into(),
+        phase: Phase::Ready,
+        offer: Offer::Service("model".into()),
+        slots: 8,
+        load: Load::default(),
+        fences: false,
+        cached: Vec::new(),
+        evicted: Vec::new(),
+    }
+}
+
 struct World {
     rosters: Vec<Roster>,
+    /// For each node, the last announcement of each upstream with the time at which it came.
+    heard: Vec<BTreeMap<String, (Announcement, u64)>>,
     rng: ChaCha8Rng,
     now: u64,
     loss: f64,
@@ -58,6 +84,7 @@
         };
         Self {
             rosters: (0..count).map(roster).collect(),
+            heard: vec![BTreeMap::new(); count],
             rng: ChaCha8Rng::seed_from_u64(20_261_204),
             now: 0,
             loss: 0.1,
@@ -76,21 +103,50 @@
         let now = Millis(self.now);
         self.rosters[at].touched(now);
         for fact in &packet.facts {
-            if let Fact::Node(fact) = fact {
-                self.rosters[at].hear(now, fact.clone());
+            match fact {
+                Fact::Node(fact) => {
+                    self.rosters[at].hear(now, fact.clone());
+                }
+                Fact::Upstream(said) => self.announce(at, (**said).clone()),
+                Fact::Crash { .. } => {}
             }
         }
         if packet.asks {
-            for (to, packet) in self.rosters[at].all(address(from), &[]) {
+            let cold = self.cold(at);
+            for (to, packet) in self.rosters[at].all(address(from), &cold) {
                 self.deliver(at, to, &packet);
             }
         }
     }
 
+    /// A node hears an announcement, and passes a newer one on.
+    fn announce(&mut self, at: usize, said: Announcement) {
+        let name = said.upstream.to_string();
+        let known = self.heard[at].get(&name);
+        if known.is_some_and(|(known, _)| known.seq >= said.seq) {
+            return;
+        }
+        let fact = Fact::Upstream(Box::new(said.clone()));
+        self.rosters[at].pass(fact, News::Refresh);
+        self.heard[at].insert(name, (said, self.now));
+    }
+
+    fn cold(&self, at: usize) -> Vec<Fact> {
+        let said = self.heard[at].values().map(|(said, _)| said.clone());
+        said.map(|said| Fact::Upstream(Box::new(said))).collect()
+    }
+
+    /// Greatest age of what any node knows of any upstream.
+    fn oldest(&self) -> u64 {
+        let heard = self.heard.iter().flat_map(BTreeMap::values);
+        heard.map(|(_, at)| self.now - at).max().unwrap_or(0)
+    }
+
     fn tick(&mut self) {
         self.now += TICK;
         for from in 0..self.rosters.len() {
-            for (to, packet) in self.rosters[from].tick(Millis(self.now), &[]) {
+            let cold = self.cold(from);
+            for (to, packet) in self.rosters[from].tick(Millis(self.now), &cold) {
                 self.deliver(from, to, &packet);
             }
         }
@@ -161,3 +217,37 @@
     let ahead = world.rosters[1].ahead(Millis(world.now));
     assert_eq!(ahead.map(|fact| fact.plan), Some(9));
 }
+
+#[test]
+fn heartbeats_are_heard_through_many_new_routes() {
+    const UPSTREAMS: usize = 60;
+    const BEAT_TICKS: u64 = 8;
+    const FRESH_MILLIS: u64 = 5_000;
+    let mut world = World::new(90);
+    for tick in 0..160_u64 {
+        for number in 0..UPSTREAMS {
+            // Each tells one of the control nodes each 1.2 seconds.
+            if (tick + number as u64).is_multiple_of(BEAT_TICKS) {
+                world.announce(number % 3, upstream(number, tick + 1));
+            }
+        }
+        // Four seconds with new routes at each tick; each node takes them as soon as it hears of them.
+        if (60..87).contains(&tick) {
+            world.rosters[0].update(|own| own.plan = tick);
+        }
+        for number in 1..90 {
+            let ahead = world.rosters[number].ahead(Millis(world.now));
+            if let Some(newer) = ahead {
+                world.rosters[number].update(|own| own.plan = newer.plan);
+            }
+        }
+        world.tick();
+        if tick > 40 {
+            assert!(
+                world.oldest() < FRESH_MILLIS,
+                "tick {tick}: {}",
+                world.oldest()
+            );
+        }
+    }
+}
