--- a/crates/core/src/roster/fact.rs
+++ b/crates/core/src/roster/fact.rs
@@ -81,6 +81,8 @@
     Router,
     /// It holds a control replica.
     Control,
+    /// It takes heartbeats and routes, and holds no replica.
+    Registry,
 }
 
 impl NodeFact {
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -406,7 +406,12 @@
     let listener = bind(settings.listen).await?;
     let rpc = bind(own.rpc).await?;
     let metrics = Arc::new(Metrics::new());
-    let base = Base::start(own, Role::Control, &timer, &metrics).await?;
+    let role = match settings.replica {
+        Some(_) => Role::Control,
+        // Nobody asks it for the ledger.
+        None => Role::Registry,
+    };
+    let base = Base::start(own, role, &timer, &metrics).await?;
     let registry = Arc::new(Registry {
         dialect: Arc::clone(&dialect),
         nodes: base.nodes.clone(),
