Show how late tasks run, and where a fetch of routes failed

The logs could not tell a router that is late itself from one whose peers or links are slow. Now: run_delay_seconds and 'tasks run late' for each process, 'newer routes known', the host asked, the time taken and whether the connection was open for a fetch that failed, plan_fetches_total, loans_total. No decision changes.

--- a/crates/fleet/src/controllers/plan.rs
+++ b/crates/fleet/src/controllers/plan.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chestnutnotch_core::roster::NodeFact;
 use chestnutnotch_core::roster::Role;
 use chestnutnotch_core::route::Plan;
 use chestnutnotch_core::route::PublishedPlan;
@@ -144,17 +145,15 @@
                 tokio::time::sleep(POLL_PERIOD).await;
             }
         }
+        let mut heard = 0;
         loop {
             let changed = self.parts.nodes.changed();
             if let Some(peer) = self.parts.nodes.newest_plan_holder() {
-                let own = self.publish.borrow().version;
-                match node::fetch_plan(peer.rpc, own, FETCH_TIMEOUT).await {
-                    Ok(held) => self.activate(held),
-                    Err(error) => {
-                        log::warn!(error:% = error, version = peer.plan; "fetching newer routes failed");
-                        tokio::time::sleep(POLL_PERIOD / 4).await;
-                    }
+                if peer.plan > heard {
+                    heard = peer.plan;
+                    log::info!(version = peer.plan, holder:% = peer.host; "newer routes known");
                 }
+                self.fetch(&peer).await;
                 continue;
             }
             // After the timeout, the next check is due anyway.
@@ -162,6 +161,25 @@
         }
     }
 
+    /// Fetches the routes of a node that has newer ones, and activates them.
+    async fn fetch(&self, peer: &NodeFact) {
+        let own = self.publish.borrow().version;
+        let start = self.parts.timer.now();
+        let fetched = node::fetch_plan(peer.rpc, own, FETCH_TIMEOUT).await;
+        let ms = self.parts.timer.now().saturating_sub(start).0;
+        match fetched {
+            Ok(held) => {
+                self.parts.metrics.plan_fetches.add("fetched");
+                self.activate(held);
+            }
+            Err(error) => {
+                self.parts.metrics.plan_fetches.add(error.label());
+                log::warn!(error:% = error, version = peer.plan, holder:% = peer.host, ms; "fetching newer routes failed");
+                tokio::time::sleep(POLL_PERIOD / 4).await;
+            }
+        }
+    }
+
     /// Returns routes that a quorum confirms, or else those of a router that already serves.
     async fn fetch_initial(&self) -> Option<PublishedPlan> {
         match self.parts.control.plan(0, CONFIRM_TIMEOUT).await {
--- a/crates/fleet/src/edges/rpc/node.rs
+++ b/crates/fleet/src/edges/rpc/node.rs
@@ -13,9 +13,12 @@
 use chestnutnotch_wire::proto::node_server::NodeServer;
 use thiserror::Error;
 use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
+use tonic::transport::Channel;
 use tonic::transport::Endpoint;
 
 use super::MAX_MESSAGE_BYTES;
@@ -26,9 +29,12 @@
 /// Error of a call to another node.
 #[derive(Debug, Error)]
 pub enum NodeError {
-    /// The node did not answer in time.
+    /// The node accepted the connection and did not answer in time.
     #[error("{0} did not answer in time")]
     TimedOut(SocketAddr),
+    /// The time was up before the connection was open.
+    #[error("no connection to {0} in time")]
+    ConnectTimedOut(SocketAddr),
     /// The connection failed.
     #[error("no connection to {address}: {source}")]
     Unreachable {
@@ -47,6 +53,18 @@
     },
 }
 
+impl NodeError {
+    /// Returns the name of the error in metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::TimedOut(_) => "timed_out",
+            Self::ConnectTimedOut(_) => "connect_timed_out",
+            Self::Unreachable { .. } => "unreachable",
+            Self::Refused { .. } => "refused",
+        }
+    }
+}
+
 /// Lends tokens out of this router's allotment.
 pub trait Lender: Send + Sync + 'static {
     /// Takes at least `min` and at most `max` tokens out of the allotment. Returns how many, or
@@ -160,7 +178,7 @@
 }
 
 /// gRPC client of the `Node` service.
-type Client = NodeClient<tonic::transport::Channel>;
+type Client = NodeClient<Channel>;
 
 /// Opens a connection and makes one call over it. `timeout` bounds both.
 async fn call<T>(
@@ -168,18 +186,23 @@
     timeout: Duration,
     send: impl AsyncFnOnce(Client) -> Result<Response<T>, Status>,
 ) -> Result<T, NodeError> {
-    let work = async {
-        let unreachable = |source| NodeError::Unreachable { address, source };
-        let endpoint = Endpoint::from_shared(format!("http://{address}")).map_err(unreachable)?;
-        let connecting = endpoint.connect_timeout(CONNECT_TIMEOUT).tcp_nodelay(true);
-        let channel = connecting.connect().await.map_err(unreachable)?;
-        let client = NodeClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
-        let refused = |source| NodeError::Refused {
-            address,
-            source: Box::new(source),
-        };
-        Ok(send(client).await.map_err(refused)?.into_inner())
+    let deadline = Instant::now() + timeout;
+    let connecting = timeout_at(deadline, connect(address)).await;
+    let channel = connecting.unwrap_or(Err(NodeError::ConnectTimedOut(address)))?;
+    let client = NodeClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
+    let answer = timeout_at(deadline, send(client)).await;
+    let answer = answer.map_err(|_| NodeError::TimedOut(address))?;
+    let refused = |source| NodeError::Refused {
+        address,
+        source: Box::new(source),
     };
-    let outcome = tokio::time::timeout(timeout, work).await;
-    outcome.unwrap_or(Err(NodeError::TimedOut(address)))
+    Ok(answer.map_err(refused)?.into_inner())
+}
+
+/// Opens a connection to a node.
+async fn connect(address: SocketAddr) -> Result<Channel, NodeError> {
+    let unreachable = |source| NodeError::Unreachable { address, source };
+    let endpoint = Endpoint::from_shared(format!("http://{address}")).map_err(unreachable)?;
+    let endpoint = endpoint.connect_timeout(CONNECT_TIMEOUT).tcp_nodelay(true);
+    endpoint.connect().await.map_err(unreachable)
 }
--- a/crates/fleet/src/gateway/charge.rs
+++ b/crates/fleet/src/gateway/charge.rs
@@ -20,6 +20,7 @@
 use crate::edges::rpc::node::Lender;
 use crate::filters::refusal::Refusal as FilterRefusal;
 use crate::gateway::refusal::Refusal;
+use crate::metrics::Metrics;
 use crate::timer::Timer;
 
 /// Longest wait for tokens from the ledger: a round trip, a quorum commit and a disk sync, with
@@ -51,15 +52,17 @@
     allotment: Arc<OnceLock<Allotment>>,
     nodes: Nodes,
     timer: Timer,
+    metrics: Arc<Metrics>,
 }
 
 impl AllotmentHandle {
     /// Returns a handle whose allotments are not set yet.
-    pub fn new(nodes: Nodes, timer: Timer) -> Self {
+    pub fn new(nodes: Nodes, timer: Timer, metrics: Arc<Metrics>) -> Self {
         Self {
             allotment: Arc::default(),
             nodes,
             timer,
+            metrics,
         }
     }
 
@@ -138,14 +141,17 @@
             let least = lacking.min(MIN_LOAN);
             match node::lend(router, budget, least, lacking, LEND_TIMEOUT).await {
                 Ok(Tokens::ZERO) => {
+                    self.metrics.loans.add("empty");
                     empty += 1;
                     continue;
                 }
                 Ok(lent) => {
+                    self.metrics.loans.add("lent");
                     log::info!(budget:% = budget, tokens = lent.0, lacking = lacking.0, from:% = router; "tokens borrowed");
                     allotment.transfer_in(budget, lent);
                 }
                 Err(error) => {
+                    self.metrics.loans.add("failed");
                     log::debug!(error:% = error; "no tokens borrowed");
                     failed += 1;
                     continue;
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -36,6 +36,7 @@
 use crate::controllers::plan;
 use crate::controllers::plan::Routes;
 use crate::controllers::replica::ReplicaHandle;
+use crate::controllers::run_delay;
 use crate::controllers::upstreams::Upstreams;
 use crate::dialect::Dialect;
 use crate::edges::gossip::GossipError;
@@ -261,7 +262,7 @@
         }),
         dialect,
         lifecycle: Lifecycle::new(Arc::clone(&metrics)),
-        allotments: AllotmentHandle::new(base.nodes.clone(), timer.clone()),
+        allotments: AllotmentHandle::new(base.nodes.clone(), timer.clone(), Arc::clone(&metrics)),
         upstreams: base.upstreams,
         pool: Pool::default(),
         nodes: base.nodes,
@@ -329,6 +330,7 @@
         timer: &Timer,
         metrics: &Arc<Metrics>,
     ) -> Result<Self, ProcessError> {
+        run_delay::measure("main", timer, Arc::clone(metrics));
         let address = own.gossip;
         let gossip = GossipSocket::bind(address).await;
         let gossip = gossip.map_err(|source| ProcessError::Gossip { address, source })?;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of a router. Every label has a small fixed set of values.
 
+use chestnutnotch_core::unit::Millis;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -73,10 +74,16 @@
     pub revision: Gauge,
     /// Connections to upstreams: reused, new or failed.
     pub connections: OutcomeCounter,
+    /// Fetches of newer routes from other nodes by outcome.
+    pub plan_fetches: OutcomeCounter,
+    /// Requests to other routers for tokens: lent, empty or failed.
+    pub loans: OutcomeCounter,
     /// Pass-through requests by kind of route and outcome.
     pass_through: Family<PassThroughLabel, Counter>,
     /// Latency of answers to pass-through requests.
     latency: Family<KindLabel, Histogram>,
+    /// How late a runtime runs its tasks.
+    run_delay: Family<RuntimeLabel, Histogram>,
 }
 
 /// Labels of pass-through requests.
@@ -92,6 +99,12 @@
     kind: &'static str,
 }
 
+/// Label of the delay of a runtime.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RuntimeLabel {
+    runtime: &'static str,
+}
+
 /// Bucket bounds of the latency histograms, dense around the targets of calls and of streams.
 const LATENCY_SECONDS: [f64; 12] = [
     0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0,
@@ -126,8 +139,11 @@
             unresolved: Gauge::default(),
             revision: Gauge::default(),
             connections: OutcomeCounter::default(),
+            plan_fetches: OutcomeCounter::default(),
+            loans: OutcomeCounter::default(),
             pass_through: Family::default(),
             latency: Family::new_with_constructor(latency),
+            run_delay: Family::new_with_constructor(latency),
         };
         metrics.register();
         metrics
@@ -151,6 +167,12 @@
             ("crashes", "Crash evidence", &self.crashes),
             ("spreads", "Messages between routers", &self.spreads),
             ("connections", "Connections to upstreams", &self.connections),
+            (
+                "plan_fetches",
+                "Fetches of newer routes",
+                &self.plan_fetches,
+            ),
+            ("loans", "Requests for other routers' tokens", &self.loans),
         ];
         for (name, help, results) in counters {
             self.registry.register(name, help, results.0.clone());
@@ -173,6 +195,9 @@
         let help = "Time to the first event or the whole answer";
         self.registry
             .register("answer_seconds", help, self.latency.clone());
+        let help = "How late tasks run";
+        self.registry
+            .register("run_delay_seconds", help, self.run_delay.clone());
     }
 
     /// Counts a pass-through request by kind of route and outcome.
@@ -189,6 +214,14 @@
             .observe(seconds);
     }
 
+    /// Records how late a runtime ran a task.
+    pub fn observe_run_delay(&self, runtime: &'static str, delay: Millis) {
+        let seconds = delay.0 as f64 / 1_000.0;
+        self.run_delay
+            .get_or_create(&RuntimeLabel { runtime })
+            .observe(seconds);
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
