Serve requests in a runtime of their own

Cause: requests, gossip, the fetch of routes, reports to the ledger and readiness were tasks of one runtime with one queue. With hundreds of tasks of requests ready, each step of a fetch waited behind them; a fetch has four or five steps and 800 ms, so every fetch timed out, whichever host was asked.

Not the hosts asked and not the links: other routers fetch from the same hosts.

Change: the server for callers and all work on requests run on a thread of their own. The rest stays in the main runtime; the operating system divides the processor between both, so a step waits for a share of the processor and no longer for a queue without bound.

--- a/crates/fleet/src/controllers/run_delay.rs
+++ b/crates/fleet/src/controllers/run_delay.rs
@@ -19,22 +19,20 @@
 /// to succeed, so that the few steps of such a call may still fit.
 const LOGGED_DELAY: Millis = Millis(150);
 
-/// Measures the current runtime for as long as it runs. `runtime` is its name in logs and metrics.
-pub fn measure(runtime: &'static str, timer: &Timer, metrics: Arc<Metrics>) {
+/// Measures the runtime that runs this for as long as it runs. `runtime` is its name in logs and
+/// metrics.
+pub async fn measure(runtime: &'static str, timer: Timer, metrics: Arc<Metrics>) {
     let mut ticks = timer.every(PERIOD);
-    let timer = timer.clone();
-    tokio::spawn(async move {
-        let period = Millis(PERIOD.as_millis() as u64);
-        let mut last = None;
-        while ticks.recv().await.is_some() {
-            let now = timer.now();
-            let due = last.map_or(now, |last| last + period);
-            last = Some(now);
-            let delay = now.saturating_sub(due);
-            metrics.observe_run_delay(runtime, delay);
-            if delay >= LOGGED_DELAY {
-                log::warn!(runtime, ms = delay.0; "tasks run late");
-            }
+    let period = Millis(PERIOD.as_millis() as u64);
+    let mut last = None;
+    while ticks.recv().await.is_some() {
+        let now = timer.now();
+        let due = last.map_or(now, |last| last + period);
+        last = Some(now);
+        let delay = now.saturating_sub(due);
+        metrics.observe_run_delay(runtime, delay);
+        if delay >= LOGGED_DELAY {
+            log::warn!(runtime, ms = delay.0; "tasks run late");
         }
-    });
+    }
 }
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -54,6 +54,7 @@
 use crate::gateway::registry::Registry;
 use crate::gateway::status::StatusHandler;
 use crate::metrics::Metrics;
+use crate::runtime::ThreadRuntime;
 use crate::settings::GatewaySettings;
 use crate::settings::NodeSettings;
 use crate::settings::RegistrySettings;
@@ -115,6 +116,9 @@
         /// Cause.
         source: GossipError,
     },
+    /// The thread for requests can't be started.
+    #[error("can't start the thread for requests: {0}")]
+    Thread(std::io::Error),
     /// The operating system gave no random number.
     #[error("no random number: {0}")]
     Random(#[from] getrandom::Error),
@@ -152,10 +156,17 @@
 }
 
 /// A running router with its HTTP servers.
+///
+/// Requests have a runtime of their own. Gossip, routes, reports to the ledger and readiness go on
+/// in the main one however many requests there are.
 struct Router {
     gateway: Arc<Gateway>,
-    /// Servers for callers, with the senders that stop them.
-    servers: Vec<(oneshot::Sender<()>, JoinHandle<()>)>,
+    /// Runtime of the server for callers and of all work on their requests.
+    callers: ThreadRuntime,
+    /// Server for callers.
+    server: JoinHandle<()>,
+    /// Stops the server for callers.
+    stop: oneshot::Sender<()>,
     /// Senders that keep the servers for readiness and metrics running until dropped.
     status_servers: Vec<oneshot::Sender<()>>,
 }
@@ -183,6 +194,12 @@
         if let Some(address) = own.metrics {
             stops.push(spawn_server(bind(address).await?, status).0);
         }
+        let callers = start_callers(&gateway)?;
+        let address = settings.listen;
+        let listener = callers.adopt(listener);
+        let listener = listener.map_err(|source| ProcessError::Listen { address, source })?;
+        let (stop, stopped) = oneshot::channel();
+        let server = callers.spawn(server::serve(listener, Arc::clone(&gateway), stopped));
         let node = NodeService::new(
             gateway.routes.published(),
             Arc::new(gateway.allotments.clone()),
@@ -197,8 +214,10 @@
             nonce,
         ));
         Ok(Self {
-            servers: vec![spawn_server(listener, Arc::clone(&gateway))],
             gateway,
+            callers,
+            server,
+            stop,
             status_servers: stops,
         })
     }
@@ -221,11 +240,9 @@
         self.gateway.lifecycle.advance(Stage::Stopping);
         self.gateway.nodes.leave();
         tokio::time::sleep(Duration::from_millis(settings.linger)).await;
-        for (stop, server) in self.servers {
-            // Fails only if the server has already ended.
-            let _ = stop.send(());
-            let _ = server.await;
-        }
+        // Both fail only if the server has already ended.
+        let _ = self.stop.send(());
+        let _ = self.server.await;
         if let Some(allotment) = self.gateway.allotments.allotment()
             && !allotment.leave().await
         {
@@ -233,11 +250,20 @@
                 "allotments were not returned to the ledger; the next start on this host frees them"
             );
         }
+        drop(self.callers);
         drop(self.status_servers);
         log::info!("router has stopped");
     }
 }
 
+/// Starts the runtime for requests, and measures its delay.
+fn start_callers(gateway: &Gateway) -> Result<ThreadRuntime, ProcessError> {
+    let callers = ThreadRuntime::start("callers").map_err(ProcessError::Thread)?;
+    let (timer, metrics) = (gateway.timer.clone(), Arc::clone(&gateway.metrics));
+    callers.spawn(run_delay::measure("callers", timer, metrics));
+    Ok(callers)
+}
+
 /// Builds the gateway, which has no routes or allotments yet.
 fn build_gateway(
     settings: &GatewaySettings,
@@ -330,7 +356,8 @@
         timer: &Timer,
         metrics: &Arc<Metrics>,
     ) -> Result<Self, ProcessError> {
-        run_delay::measure("main", timer, Arc::clone(metrics));
+        let measure = run_delay::measure("main", timer.clone(), Arc::clone(metrics));
+        tokio::spawn(measure);
         let address = own.gossip;
         let gossip = GossipSocket::bind(address).await;
         let gossip = gossip.map_err(|source| ProcessError::Gossip { address, source })?;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`settings`]: one TOML file for each process.
 //! - [`timer`]: the source of time and of ticks for all parts of a process.
+//! - [`runtime`]: a runtime on a thread of its own.
 //! - [`edges`]: input and output of a process: HTTP, RPC, gossip, disk.
 //! - [`router`], [`control`]: whole router and control processes.
 //! - [`gateway`]: whole processes for pass-through routes. [`dialect`]: the format of their routes.
@@ -25,5 +26,6 @@
 pub mod metrics;
 pub mod publish;
 pub mod router;
+pub mod runtime;
 pub mod settings;
 pub mod timer;
