Bound the calls for loans that can't succeed

Cause: each request that lacked tokens asked up to six routers, each over a connection of its own and with a timeout of 60 ms, although the same routers had just failed to answer, or had nothing to spare, for the request before. At 150 such requests a second these are 900 calls a second; a refusal cost more than an answer. After a cut the calls timed out because the router was late, which made the next requests call again.

--- a/crates/fleet/src/gateway/charge.rs
+++ b/crates/fleet/src/gateway/charge.rs
@@ -1,24 +1,21 @@
 //! Charging of pass-through requests: reserves the worst case up front and charges what was
 //! delivered.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::time::Duration;
 
 use chestnutnotch_core::id::Budget;
 use chestnutnotch_core::ledger::Reservation;
-use chestnutnotch_core::roster::Role;
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::unit::Tokens;
-use rand::seq::SliceRandom;
 
 use crate::controllers::allotment::Allotment;
 use crate::controllers::nodes::Nodes;
 use crate::dialect::Prompt;
-use crate::edges::rpc::node;
 use crate::edges::rpc::node::Lender;
 use crate::filters::refusal::Refusal as FilterRefusal;
+use crate::gateway::loans::Loans;
 use crate::gateway::refusal::Refusal;
 use crate::metrics::Metrics;
 use crate::timer::Timer;
@@ -27,17 +24,6 @@
 /// room for the first retries during a change of leader.
 const GRANT_TIMEOUT: Millis = Millis(150);
 
-/// Longest wait for a loan from another router: a connection and a round trip within a region.
-const LEND_TIMEOUT: Duration = Duration::from_millis(60);
-
-/// Maximum number of routers asked for tokens before a request is refused. Together they hold most
-/// of the allotted tokens, and each call takes a few milliseconds.
-const MAX_LENDERS: usize = 6;
-
-/// Smallest loan to ask a router for, unless the request lacks less. A smaller one is not worth a
-/// call.
-const MIN_LOAN: Tokens = Tokens(500);
-
 /// A request waits for the router to join the ledger for its time left divided by this. Joining
 /// takes a second or two, and a late answer is worth more than a refusal.
 const JOIN_WAIT_DIVISOR: u64 = 3;
@@ -50,9 +36,8 @@
 #[derive(Clone, Debug)]
 pub struct AllotmentHandle {
     allotment: Arc<OnceLock<Allotment>>,
-    nodes: Nodes,
+    loans: Arc<Loans>,
     timer: Timer,
-    metrics: Arc<Metrics>,
 }
 
 impl AllotmentHandle {
@@ -60,9 +45,8 @@
     pub fn new(nodes: Nodes, timer: Timer, metrics: Arc<Metrics>) -> Self {
         Self {
             allotment: Arc::default(),
-            nodes,
+            loans: Arc::new(Loans::new(nodes, timer.clone(), metrics)),
             timer,
-            metrics,
         }
     }
 
@@ -104,7 +88,10 @@
         let reservation = match allotment.reserve(budget, worst_case, deadline).await {
             Ok(reservation) => reservation,
             Err(FilterRefusal::BudgetSpent) => return Err(Refusal::BudgetSpent),
-            Err(_) => self.borrow(allotment, budget, worst_case, id).await?,
+            Err(_) => {
+                let loans = &self.loans;
+                loans.borrow(allotment, budget, worst_case, id).await?
+            }
         };
         Ok(Charge {
             allotments: self.clone(),
@@ -125,63 +112,6 @@
         }
         self.allotment.get()
     }
-
-    /// Borrows the tokens that a request lacks from other routers and reserves its worst case. It
-    /// asks for no more, since borrowed tokens that are not used are lost.
-    async fn borrow(
-        &self,
-        allotment: &Allotment,
-        budget: &Budget,
-        worst_case: Tokens,
-        id: &str,
-    ) -> Result<Reservation, Refusal> {
-        let (mut empty, mut failed) = (0, 0);
-        for router in self.lenders() {
-            let lacking = allotment.shortfall(budget, worst_case);
-            let least = lacking.min(MIN_LOAN);
-            match node::lend(router, budget, least, lacking, LEND_TIMEOUT).await {
-                Ok(Tokens::ZERO) => {
-                    self.metrics.loans.add("empty");
-                    empty += 1;
-                    continue;
-                }
-                Ok(lent) => {
-                    self.metrics.loans.add("lent");
-                    log::info!(budget:% = budget, tokens = lent.0, lacking = lacking.0, from:% = router; "tokens borrowed");
-                    allotment.transfer_in(budget, lent);
-                }
-                Err(error) => {
-                    self.metrics.loans.add("failed");
-                    log::debug!(error:% = error; "no tokens borrowed");
-                    failed += 1;
-                    continue;
-                }
-            }
-            if let Ok(reservation) = allotment.reserve(budget, worst_case, Millis::ZERO).await {
-                return Ok(reservation);
-            }
-        }
-        let lacking = allotment.shortfall(budget, worst_case).0;
-        log::info!(
-            target: "request",
-            id, budget:% = budget, worst = worst_case.0, lacking, empty, failed,
-            ledger = allotment.is_report_answered();
-            "no tokens to borrow"
-        );
-        Err(Refusal::AllotmentShort)
-    }
-
-    /// Returns the RPC addresses of routers to borrow from, in random order with those of this data
-    /// centre first.
-    fn lenders(&self) -> Vec<SocketAddr> {
-        let centre = self.nodes.centre();
-        let mut live = self.nodes.live();
-        live.retain(|fact| fact.role == Role::Router);
-        live.shuffle(&mut rand::rng());
-        live.sort_by_key(|fact| fact.centre != centre);
-        live.truncate(MAX_LENDERS);
-        live.into_iter().map(|fact| fact.rpc).collect()
-    }
 }
 
 impl Lender for AllotmentHandle {
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod exchange;
 pub mod front;
 pub mod job;
+pub mod loans;
 pub mod process;
 pub mod refusal;
 pub mod registry;
