Ask another router for the first routes after one was silent

A starting router that no quorum answers asks a router that serves. It took the one with the highest version, and among equal ones the last of the table: the same one each time, also if that one is frozen or cut off, which counts as live for some seconds. Now one of the holders is drawn each time, those of the own data centre first, as for later versions.

--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -290,15 +290,19 @@
     }
 
     /// Returns a random live node with the highest plan version, or none if no version is above the
-    /// own one. Nodes of the own data centre are preferred.
-    pub fn newest_plan_holder(&mut self, now: Millis) -> Option<NodeFact> {
+    /// own one. Nodes of the own data centre are preferred. With `role`, only nodes with that role
+    /// count.
+    pub fn newest_plan_holder(&mut self, now: Millis, role: Option<Role>) -> Option<NodeFact> {
         let own = self.own.plan;
-        let highest = self.live(now).map(|fact| fact.plan).max()?;
+        let live = self.live(now);
+        let live = live.filter(|fact| role.is_none_or(|role| fact.role == role));
+        let live: Vec<NodeFact> = live.cloned().collect();
+        let highest = live.iter().map(|fact| fact.plan).max()?;
         if highest <= own {
             return None;
         }
-        let holders = self.live(now).filter(|fact| fact.plan == highest);
-        let holders: Vec<NodeFact> = holders.cloned().collect();
+        let holders = live.into_iter().filter(|fact| fact.plan == highest);
+        let holders: Vec<NodeFact> = holders.collect();
         let is_local = |fact: &&NodeFact| fact.centre == self.own.centre;
         let local: Vec<&NodeFact> = holders.iter().filter(is_local).collect();
         match local.choose(&mut self.rng) {
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used)]
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use chestnutnotch_core::roster::Fact;
@@ -214,11 +215,30 @@
     // 13 ticks are two seconds, the time within which new routes have to be in force.
     (0..13).for_each(|_| cluster.tick());
     for number in 1..90 {
-        let holder = cluster.rosters[number].newest_plan_holder(Millis(cluster.now));
+        let holder = cluster.rosters[number].newest_plan_holder(Millis(cluster.now), None);
         assert_eq!(holder.map(|fact| fact.plan), Some(7), "node {number}");
     }
 }
 
+/// The failure: a starting router asked the same router for its first routes each time, so one
+/// silent router delayed it until that one had timed out.
+#[test]
+fn first_routes_are_asked_of_one_router_only() {
+    let mut cluster = Cluster::new(15);
+    cluster.rosters[0].update_own(|own| own.plan = 9);
+    for router in 3..14 {
+        cluster.rosters[router].update_own(|own| own.plan = 7);
+    }
+    (0..20).for_each(|_| cluster.tick());
+    let now = Millis(cluster.now);
+    let starting = &mut cluster.rosters[14];
+    let holders = (0..50).filter_map(|_| starting.newest_plan_holder(now, Some(Role::Router)));
+    let holders: Vec<NodeFact> = holders.collect();
+    assert!(holders.iter().all(|fact| fact.plan == 7));
+    let hosts: BTreeSet<&str> = holders.iter().map(|fact| fact.host.as_str()).collect();
+    assert!(hosts.len() > 1, "{hosts:?}");
+}
+
 /// A restarted node whose clock is behind its last run has a lower generation than the others know.
 /// They would ignore it if it did not raise its generation above that one.
 #[test]
@@ -229,7 +249,7 @@
     cluster.rosters[4] = Roster::new(node(4, 0), seeds, RosterSettings::default(), 44);
     cluster.rosters[4].update_own(|own| own.plan = 9);
     (0..20).for_each(|_| cluster.tick());
-    let holder = cluster.rosters[1].newest_plan_holder(Millis(cluster.now));
+    let holder = cluster.rosters[1].newest_plan_holder(Millis(cluster.now), None);
     assert_eq!(holder.map(|fact| fact.plan), Some(9));
 }
 
@@ -255,7 +275,7 @@
             cluster.rosters[0].update_own(|own| own.plan = tick);
         }
         for number in 1..90 {
-            let holder = cluster.rosters[number].newest_plan_holder(Millis(cluster.now));
+            let holder = cluster.rosters[number].newest_plan_holder(Millis(cluster.now), None);
             if let Some(newer) = holder {
                 cluster.rosters[number].update_own(|own| own.plan = newer.plan);
             }
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -106,9 +106,10 @@
         self.roster().live(self.now()).cloned().collect()
     }
 
-    /// Returns the live node with the newest routes, if they are newer than those of this node.
-    pub fn newest_plan_holder(&self) -> Option<NodeFact> {
-        self.roster().newest_plan_holder(self.now())
+    /// Returns a live node with the newest routes, if they are newer than those of this node. With
+    /// `role`, only nodes with that role count.
+    pub fn newest_plan_holder(&self, role: Option<Role>) -> Option<NodeFact> {
+        self.roster().newest_plan_holder(self.now(), role)
     }
 
     /// Waits until a fact about another node changes: it joins, leaves or gets newer routes.
--- a/crates/fleet/src/controllers/plan.rs
+++ b/crates/fleet/src/controllers/plan.rs
@@ -148,7 +148,7 @@
         let mut heard = 0;
         loop {
             let changed = self.parts.nodes.changed();
-            if let Some(peer) = self.parts.nodes.newest_plan_holder() {
+            if let Some(peer) = self.parts.nodes.newest_plan_holder(None) {
                 if peer.plan > heard {
                     heard = peer.plan;
                     log::info!(version = peer.plan, holder:% = peer.host; "newer routes known");
@@ -187,9 +187,7 @@
             Ok(_) => return None,
             Err(error) => log::debug!(error:% = error; "no quorum confirmed the routes yet"),
         }
-        let live = self.parts.nodes.live().into_iter();
-        let routers = live.filter(|fact| fact.role == Role::Router && fact.plan > 0);
-        let newest = routers.max_by_key(|fact| fact.plan)?;
+        let newest = self.parts.nodes.newest_plan_holder(Some(Role::Router))?;
         match node::fetch_plan(newest.rpc, 0, FETCH_TIMEOUT).await {
             Ok(held) => Some(held).filter(|held| held.version > 0),
             Err(error) => {
