Ask another holder of newer routes after one has failed

Callers could get 404 on new routes at a router that knew the newer version, for as long as one host was down.

Change: holders that have failed are left out until a fetch succeeds or all have failed; then come holders elsewhere, then those of versions that are older but above the own one. A node that answers without newer routes counts as failed; it was asked again at once.

newer_routes_are_asked_of_a_lost_local_holder_only fails with the failed holders not left out (host-3 again) and passes.

--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -290,19 +290,27 @@
     }
 
     /// Returns a random live node with the highest plan version, or none if no version is above the
-    /// own one. Nodes of the own data centre are preferred. With `role`, only nodes with that role
-    /// count.
-    pub fn newest_plan_holder(&mut self, now: Millis, role: Option<Role>) -> Option<NodeFact> {
-        let own = self.own.plan;
+    /// own one. Nodes of the own data centre are preferred.
+    ///
+    /// With `role`, only nodes with that role count. Nodes whose RPC address is in `failed` count
+    /// only if there is no other with a version above the own one.
+    pub fn newest_plan_holder(
+        &mut self,
+        now: Millis,
+        role: Option<Role>,
+        failed: &[SocketAddr],
+    ) -> Option<NodeFact> {
         let live = self.live(now);
-        let live = live.filter(|fact| role.is_none_or(|role| fact.role == role));
-        let live: Vec<NodeFact> = live.cloned().collect();
-        let highest = live.iter().map(|fact| fact.plan).max()?;
-        if highest <= own {
-            return None;
-        }
-        let holders = live.into_iter().filter(|fact| fact.plan == highest);
-        let holders: Vec<NodeFact> = holders.collect();
+        let newer = live
+            .filter(|fact| fact.plan > self.own.plan && role.is_none_or(|role| fact.role == role));
+        let (failed, usable): (Vec<NodeFact>, Vec<NodeFact>) =
+            newer.cloned().partition(|fact| failed.contains(&fact.rpc));
+        let mut holders = match usable.is_empty() {
+            true => failed,
+            false => usable,
+        };
+        let highest = holders.iter().map(|fact| fact.plan).max()?;
+        holders.retain(|fact| fact.plan == highest);
         let is_local = |fact: &&NodeFact| fact.centre == self.own.centre;
         let local: Vec<&NodeFact> = holders.iter().filter(is_local).collect();
         match local.choose(&mut self.rng) {
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -215,7 +215,7 @@
     // 13 ticks are two seconds, the time within which new routes have to be in force.
     (0..13).for_each(|_| cluster.tick());
     for number in 1..90 {
-        let holder = cluster.rosters[number].newest_plan_holder(Millis(cluster.now), None);
+        let holder = cluster.rosters[number].newest_plan_holder(Millis(cluster.now), None, &[]);
         assert_eq!(holder.map(|fact| fact.plan), Some(7), "node {number}");
     }
 }
@@ -232,13 +232,40 @@
     (0..20).for_each(|_| cluster.tick());
     let now = Millis(cluster.now);
     let starting = &mut cluster.rosters[14];
-    let holders = (0..50).filter_map(|_| starting.newest_plan_holder(now, Some(Role::Router)));
+    let holders = (0..50).filter_map(|_| starting.newest_plan_holder(now, Some(Role::Router), &[]));
     let holders: Vec<NodeFact> = holders.collect();
     assert!(holders.iter().all(|fact| fact.plan == 7));
     let hosts: BTreeSet<&str> = holders.iter().map(|fact| fact.host.as_str()).collect();
     assert!(hosts.len() > 1, "{hosts:?}");
 }
 
+/// The failure: a node asked the one holder of newer routes in its data centre again and again while
+/// that one was down, and none of the holders in others.
+#[test]
+fn newer_routes_are_asked_of_a_lost_local_holder_only() {
+    let mut cluster = Cluster::new(6);
+    for holder in [3, 4] {
+        cluster.rosters[holder].update_own(|own| own.plan = 7);
+    }
+    cluster.rosters[5].update_own(|own| own.plan = 6);
+    (0..20).for_each(|_| cluster.tick());
+    let now = Millis(cluster.now);
+    let mut ask = |failed: &[usize]| {
+        let failed: Vec<SocketAddr> = failed.iter().copied().map(address).collect();
+        let holder = cluster.rosters[0].newest_plan_holder(now, None, &failed);
+        holder.map(|fact| fact.host.to_string())
+    };
+    assert_eq!(ask(&[]).as_deref(), Some("host-3"), "the local holder");
+    assert_eq!(ask(&[3]).as_deref(), Some("host-4"), "one elsewhere");
+    let older = ask(&[3, 4]);
+    assert_eq!(
+        older.as_deref(),
+        Some("host-5"),
+        "newer than the own version"
+    );
+    assert!(ask(&[3, 4, 5]).is_some(), "all have failed once");
+}
+
 /// A restarted node whose clock is behind its last run has a lower generation than the others know.
 /// They would ignore it if it did not raise its generation above that one.
 #[test]
@@ -249,7 +276,7 @@
     cluster.rosters[4] = Roster::new(node(4, 0), seeds, RosterSettings::default(), 44);
     cluster.rosters[4].update_own(|own| own.plan = 9);
     (0..20).for_each(|_| cluster.tick());
-    let holder = cluster.rosters[1].newest_plan_holder(Millis(cluster.now), None);
+    let holder = cluster.rosters[1].newest_plan_holder(Millis(cluster.now), None, &[]);
     assert_eq!(holder.map(|fact| fact.plan), Some(9));
 }
 
@@ -275,7 +302,7 @@
             cluster.rosters[0].update_own(|own| own.plan = tick);
         }
         for number in 1..90 {
-            let holder = cluster.rosters[number].newest_plan_holder(Millis(cluster.now), None);
+            let holder = cluster.rosters[number].newest_plan_holder(Millis(cluster.now), None, &[]);
             if let Some(newer) = holder {
                 cluster.rosters[number].update_own(|own| own.plan = newer.plan);
             }
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -106,10 +106,13 @@
         self.roster().live(self.now()).cloned().collect()
     }
 
-    /// Returns a live node with the newest routes, if they are newer than those of this node. With
-    /// `role`, only nodes with that role count.
-    pub fn newest_plan_holder(&self, role: Option<Role>) -> Option<NodeFact> {
-        self.roster().newest_plan_holder(self.now(), role)
+    /// See [`Roster::newest_plan_holder`].
+    pub fn newest_plan_holder(
+        &self,
+        role: Option<Role>,
+        failed: &[SocketAddr],
+    ) -> Option<NodeFact> {
+        self.roster().newest_plan_holder(self.now(), role, failed)
     }
 
     /// Waits until a fact about another node changes: it joins, leaves or gets newer routes.
--- a/crates/fleet/src/controllers/plan.rs
+++ b/crates/fleet/src/controllers/plan.rs
@@ -4,6 +4,7 @@
 //! serves: a single replica may be isolated and have an old version. Later versions are fetched
 //! from any node that has a newer one. A lower version never replaces a higher one.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -104,7 +105,12 @@
     pub fn start(parts: Parts) -> Self {
         let (tx, current) = watch::channel(None);
         let (publish, published) = watch::channel(PublishedPlan::default());
-        let follower = Follower { parts, tx, publish };
+        let follower = Follower {
+            parts,
+            tx,
+            publish,
+            failed: Vec::new(),
+        };
         tokio::spawn(follower.run());
         Self { current, published }
     }
@@ -133,11 +139,13 @@
     tx: watch::Sender<Option<Arc<ActiveRoutes>>>,
     /// Sends the active document; its version is 0 before the first one.
     publish: watch::Sender<PublishedPlan>,
+    /// Nodes that a fetch from has failed since the last one that succeeded.
+    failed: Vec<SocketAddr>,
 }
 
 impl Follower {
     /// Waits for the first routes, and then follows newer ones for as long as the process runs.
-    async fn run(self) {
+    async fn run(mut self) {
         while self.tx.borrow().is_none() {
             if let Some(held) = self.fetch_initial().await {
                 self.activate(held);
@@ -147,54 +155,68 @@
         }
         let mut heard = 0;
         loop {
-            let changed = self.parts.nodes.changed();
-            if let Some(peer) = self.parts.nodes.newest_plan_holder(None) {
+            let holder = self.parts.nodes.newest_plan_holder(None, &self.failed);
+            if let Some(peer) = holder {
                 if peer.plan > heard {
                     heard = peer.plan;
                     log::info!(version = peer.plan, holder:% = peer.host; "newer routes known");
                 }
-                self.fetch(&peer).await;
+                self.fetch_newer(&peer).await;
                 continue;
             }
             // After the timeout, the next check is due anyway.
-            let _ = tokio::time::timeout(POLL_PERIOD, changed).await;
+            let _ = tokio::time::timeout(POLL_PERIOD, self.parts.nodes.changed()).await;
         }
     }
 
     /// Fetches the routes of a node that has newer ones, and activates them.
-    async fn fetch(&self, peer: &NodeFact) {
+    async fn fetch_newer(&mut self, peer: &NodeFact) {
+        match self.fetch(peer).await {
+            Some(held) => self.activate(held),
+            None => tokio::time::sleep(POLL_PERIOD / 4).await,
+        }
+    }
+
+    /// Fetches the routes of a node. Returns `None` if that fails or they are not newer.
+    async fn fetch(&mut self, peer: &NodeFact) -> Option<PublishedPlan> {
         let own = self.publish.borrow().version;
         let start = self.parts.timer.now();
         let fetched = node::fetch_plan(peer.rpc, own, FETCH_TIMEOUT).await;
         let ms = self.parts.timer.now().saturating_sub(start).0;
         match fetched {
-            Ok(held) => {
+            Ok(held) if held.version > own => {
                 self.parts.metrics.plan_fetches.add("fetched");
-                self.activate(held);
+                self.failed.clear();
+                return Some(held);
+            }
+            Ok(held) => {
+                // The node has restarted since it announced its version.
+                self.parts.metrics.plan_fetches.add("stale");
+                log::warn!(version = peer.plan, held = held.version, holder:% = peer.host; "node has no newer routes");
             }
             Err(error) => {
                 self.parts.metrics.plan_fetches.add(error.label());
                 log::warn!(error:% = error, version = peer.plan, holder:% = peer.host, ms; "fetching newer routes failed");
-                tokio::time::sleep(POLL_PERIOD / 4).await;
             }
         }
+        if self.failed.contains(&peer.rpc) {
+            // All holders have failed, so each of them is due again.
+            self.failed.clear();
+        }
+        self.failed.push(peer.rpc);
+        None
     }
 
     /// Returns routes that a quorum confirms, or else those of a router that already serves.
-    async fn fetch_initial(&self) -> Option<PublishedPlan> {
+    async fn fetch_initial(&mut self) -> Option<PublishedPlan> {
         match self.parts.control.plan(0, CONFIRM_TIMEOUT).await {
             Ok(held) if held.version > 0 => return Some(held),
             Ok(_) => return None,
             Err(error) => log::debug!(error:% = error; "no quorum confirmed the routes yet"),
         }
-        let newest = self.parts.nodes.newest_plan_holder(Some(Role::Router))?;
-        match node::fetch_plan(newest.rpc, 0, FETCH_TIMEOUT).await {
-            Ok(held) => Some(held).filter(|held| held.version > 0),
-            Err(error) => {
-                log::warn!(error:% = error; "fetching another router's routes failed");
-                None
-            }
-        }
+        let nodes = &self.parts.nodes;
+        let peer = nodes.newest_plan_holder(Some(Role::Router), &self.failed)?;
+        self.fetch(&peer).await
     }
 
     /// Activates routes if they are newer.
