--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -1,10 +1,10 @@
 //! Reverse proxy for pass-through routes: forwards requests unchanged to an upstream of a service.
 //!
 //! A request takes these steps. [`front`] finds its route and workspace, reads its body and
-//! reserves its tokens ([`charge`]). [`exchange`] sends it to upstreams until one answers.
-//! [`stream`] forwards the events of a streamed answer and resumes a broken stream where the route
-//! allows it. A [`job`] holds the state of one request, and a [`refusal`] is an error answer of the
-//! router itself.
+//! reserves its tokens ([`charge`]), which it may borrow from other routers ([`loans`]).
+//! [`exchange`] sends it to upstreams until one answers. [`stream`] forwards the events of a
+//! streamed answer and resumes a broken stream where the route allows it. A [`job`] holds the state
+//! of one request, and a [`refusal`] is an error answer of the router itself.
 //!
 //! [`process`] runs the router and control processes. [`registry`] is the HTTP interface of a
 //! control host for upstreams and operators, and [`status`] serves readiness and metrics.
