Show how the answers of upstreams are framed, and where streams end

The record of the incident can't tell whether a stream that was broken off had a length, chunks or neither, nor whether it ended inside an event. The line 'answered' of a stream now tells its framing and the size of an incomplete event at its end, and answer_framings counts answers by framing. No decision changes.

--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -27,6 +27,7 @@
 
 use crate::dialect::HopMetadata;
 use crate::dialect::ResponseMetadata;
+use crate::edges::http::Framing;
 use crate::edges::http::ReplyBody;
 use crate::edges::http::pool::Connection;
 use crate::edges::http::pool::ExchangeError;
@@ -100,6 +101,8 @@
     pub connection: Connection,
     /// Status and headers.
     pub head: response::Parts,
+    /// What marks the end of the body.
+    pub framing: Framing,
     /// The part of the body that was not read yet.
     pub body: Incoming,
     /// The part of the body that was read but not forwarded.
@@ -228,10 +231,13 @@
     if let Some(load) = metadata.load {
         job.gateway.upstreams.update_load(&attempt.pick, load);
     }
+    let framing = Framing::of(&head, &body);
+    job.gateway.metrics.framings.add(framing.label());
     let opened = OpenResponse {
         attempt,
         connection,
         head,
+        framing,
         body,
         received: Bytes::new(),
     };
@@ -424,6 +430,7 @@
         attempt,
         connection,
         head,
+        framing,
         mut body,
         ..
     } = opened;
@@ -446,6 +453,7 @@
                 attempt,
                 connection,
                 head,
+                framing,
                 body,
                 received: buffer.freeze(),
             };
--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::edges::http::Framing;
 use crate::edges::http::Part;
 use crate::edges::http::ReplyBody;
 use crate::filters::sse;
@@ -123,6 +124,8 @@
         job,
         tx,
         event_count: 0,
+        partial_bytes: 0,
+        framing: opened.framing,
         status: parts.status,
     };
     tokio::spawn(relay.run(opened));
@@ -137,6 +140,10 @@
     last_event: Option<u64>,
     /// Number of events forwarded.
     event_count: u64,
+    /// Size of the incomplete event at the end of the body, for the log.
+    partial_bytes: usize,
+    /// Framing of the last upstream's answer, for the log.
+    framing: Framing,
     /// Status of the answer, for the log.
     status: http::StatusCode,
 }
@@ -167,6 +174,7 @@
                     self.job.reason = "stream_broke";
                     match self.resume().await {
                         Some(next) => {
+                            self.framing = next.framing;
                             opened = next;
                             continue;
                         }
@@ -218,6 +226,7 @@
     /// Forwards the bytes after the last complete event, with which a complete stream may end.
     async fn finish(&mut self, splitter: &mut Splitter) -> StreamEnd {
         let rest = splitter.take_partial();
+        self.partial_bytes = rest.len();
         if !rest.is_empty() && self.tx.send(Part::Data(rest)).await.is_err() {
             return StreamEnd::CallerGone;
         }
@@ -282,6 +291,7 @@
             target: "request",
             id = &*job.metadata.attempt_id, route = &*job.route.name, kind, outcome,
             status = self.status.as_u16(), first, ms = job.elapsed().0, events = self.event_count,
+            framing = self.framing.label(), partial = self.partial_bytes,
             sends = job.sends, reason = job.reason,
             upstream = job.tried.last().map_or("", |upstream| upstream.as_str()),
             charged = job.charge.as_ref().map_or(0, |charge| charge.due().0);
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -74,6 +74,8 @@
     pub revision: Gauge,
     /// Connections to upstreams: reused, new or failed.
     pub connections: OutcomeCounter,
+    /// Answers of upstreams to pass-through requests by what marks the end of the body.
+    pub framings: OutcomeCounter,
     /// Fetches of newer routes from other nodes by outcome.
     pub plan_fetches: OutcomeCounter,
     /// Requests to other routers for tokens: lent, empty or failed.
@@ -139,6 +141,7 @@
             unresolved: Gauge::default(),
             revision: Gauge::default(),
             connections: OutcomeCounter::default(),
+            framings: OutcomeCounter::default(),
             plan_fetches: OutcomeCounter::default(),
             loans: OutcomeCounter::default(),
             pass_through: Family::default(),
@@ -167,6 +170,7 @@
             ("crashes", "Crash evidence", &self.crashes),
             ("spreads", "Messages between routers", &self.spreads),
             ("connections", "Connections to upstreams", &self.connections),
+            ("answer_framings", "Answers by framing", &self.framings),
             (
                 "plan_fetches",
                 "Fetches of newer routes",
