Send the events that arrived before a stream broke off

What callers saw: a stream that broke off right after its first events ended with its headers alone. The events were charged as delivered.

Cause: when the body of a response fails, the HTTP server drops what it has not written yet. The relay ended its channel right after the last events, so that both reached the server in one poll.

Change: a truncated body is pending once before it fails; the server then flushes its buffer. To a caller that does not read, bytes can still be lost, as before.

--- a/crates/fleet/src/edges/http/body.rs
+++ b/crates/fleet/src/edges/http/body.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
 use hyper::body::Body;
@@ -21,6 +22,8 @@
     /// A streamed body with an explicit end. If the channel ends without [`Part::End`], the
     /// connection is closed, so that the caller sees a truncated body.
     Relayed(mpsc::Receiver<Part>),
+    /// A truncated body whose last bytes may still be in the write buffer.
+    Truncated,
 }
 
 /// Item of a [`ReplyBody::Relayed`] channel.
@@ -52,23 +55,31 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
-        match self.get_mut() {
+        let body = self.get_mut();
+        match body {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Self::Stream(parts) => parts
                 .poll_recv(context)
                 .map(|part| part.map(|b| Ok(Frame::data(b)))),
-            Self::Relayed(parts) => parts.poll_recv(context).map(|part| match part {
-                Some(Part::Data(bytes)) => Some(Ok(Frame::data(bytes))),
-                Some(Part::End) => None,
-                None => Some(Err(TruncatedBody)),
-            }),
+            Self::Relayed(parts) => match ready!(parts.poll_recv(context)) {
+                Some(Part::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Some(Part::End) => Poll::Ready(None),
+                None => {
+                    // An error makes the server drop its write buffer, which it flushes when the
+                    // body is pending.
+                    *body = Self::Truncated;
+                    context.waker().wake_by_ref();
+                    Poll::Pending
+                }
+            },
+            Self::Truncated => Poll::Ready(Some(Err(TruncatedBody))),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.is_none(),
-            Self::Stream(_) | Self::Relayed(_) => false,
+            Self::Stream(_) | Self::Relayed(_) | Self::Truncated => false,
         }
     }
 
@@ -77,7 +88,7 @@
             Self::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            Self::Stream(_) | Self::Relayed(_) => SizeHint::default(),
+            Self::Stream(_) | Self::Relayed(_) | Self::Truncated => SizeHint::default(),
         }
     }
 }
