Decide in one place whether an upstream's answer is complete

Large plain answers were cut off.

Cause: each path took the end of the body that the HTTP library reports for the end of a complete answer. An answer with neither a length nor chunks ends with its connection, and there a crash looks like the end; nor does a last chunk prove that the last event is complete. The relay of streams even forwarded what it held of an incomplete event, as 'the bytes with which a complete stream may end'. The class: completeness inferred from the absence of an error.

Change: AnswerBody reads every upstream's answer (streams, resumed ones, plain answers, chats, calls, probes and cancels) and alone decides. A stream of events is complete only between two events, whatever its framing; one with neither a length nor chunks needs an event at all; a reset is never an end. Bytes are bounded, also those read to reuse a connection. The splitter knows all line ends of the format, so that the stricter rule does not cut streams with CR LF. An answer that declares another content type than that of events is not read as one, and neither are large plain answers, which failed at 256 KiB without a blank line. A stream that breaks inside its first event is answered 502, or tried elsewhere, as one without a first event is. answer_faults counts what was found.

--- a/crates/fleet/src/controllers/abandoned.rs
+++ b/crates/fleet/src/controllers/abandoned.rs
@@ -32,7 +32,7 @@
 use crate::controllers::upstreams::Upstreams;
 use crate::edges::http::HttpClient;
 use crate::edges::http::client::Call;
-use crate::edges::http::read_bounded;
+use crate::edges::http::read_answer;
 use crate::metrics::Metrics;
 use crate::timer::Timer;
 
@@ -230,8 +230,9 @@
         if response.status() != StatusCode::OK {
             return None;
         }
-        let body = read_bounded(response.into_body(), MAX_REPLY_BYTES, CANCEL_TIMEOUT).await;
-        let reply: CancelReply = serde_json::from_slice(&body.ok()?).ok()?;
+        let read = read_answer(response, MAX_REPLY_BYTES, CANCEL_TIMEOUT).await;
+        let (_, body) = read.ok()?;
+        let reply: CancelReply = serde_json::from_slice(&body).ok()?;
         Some(reply.produced + reply.prompt)
     }
 }
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -36,7 +36,7 @@
 
 use crate::edges::http::HttpClient;
 use crate::edges::http::client::Call;
-use crate::edges::http::read_bounded;
+use crate::edges::http::read_answer;
 use crate::metrics::Metrics;
 use crate::timer::Timer;
 
@@ -255,8 +255,9 @@
         if response.status() != StatusCode::OK {
             return None;
         }
-        let body = read_bounded(response.into_body(), MAX_ANNOUNCEMENT_BYTES, PROBE_TIMEOUT).await;
-        serde_json::from_slice(&body.ok()?).ok()
+        let read = read_answer(response, MAX_ANNOUNCEMENT_BYTES, PROBE_TIMEOUT).await;
+        let (_, body) = read.ok()?;
+        serde_json::from_slice(&body).ok()
     }
 
     /// Advances the time of the table. Returns the probes that are due.
--- a/crates/fleet/src/edges/http/mod.rs
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -1,17 +1,24 @@
 //! HTTP server and clients.
 //!
 //! [`server`] accepts connections from callers, [`client`] and [`pool`] connect to upstreams,
-//! [`body`] holds the bodies of responses and [`read`] reads bodies. All of them bound bytes and
-//! time. [`framing`] tells how the end of a body is marked.
+//! [`body`] holds the bodies of responses, [`read`] reads the bodies of requests and [`answer`] those
+//! of upstreams' answers, of which it decides whether they are complete. All of them bound bytes and
+//! time. [`framing`] tells how the end of a body is marked, and [`events`] splits a body of
+//! server-sent events.
 
+pub mod answer;
 pub mod body;
 pub mod client;
+pub mod events;
 pub mod framing;
 pub mod pool;
 pub mod read;
 pub mod server;
 pub mod socket;
 
+pub use answer::AnswerBody;
+pub use answer::AnswerFault;
+pub use answer::read_answer;
 pub use body::Part;
 pub use body::ReplyBody;
 pub use client::HttpClient;
--- a/crates/fleet/src/filters/attempt.rs
+++ b/crates/fleet/src/filters/attempt.rs
@@ -6,23 +6,23 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use futures_util::FutureExt;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::edges::http::AnswerBody;
+use crate::edges::http::AnswerFault;
 use crate::edges::http::HttpClient;
 use crate::edges::http::SendError;
 use crate::edges::http::client::Call;
+use crate::edges::http::events;
+use crate::edges::http::events::EventTooLong;
 use crate::filters::sse;
 use crate::filters::sse::Event;
-use crate::filters::sse::Splitter;
 use crate::filters::sse::StreamError;
 use crate::filters::sse::Usage;
 
@@ -56,6 +56,12 @@
     /// An event is invalid.
     #[error(transparent)]
     Stream(#[from] StreamError),
+    /// An event is too long.
+    #[error(transparent)]
+    EventTooLong(#[from] EventTooLong),
+    /// The answer is larger than this bound, in bytes.
+    #[error("the answer is larger than {0} bytes")]
+    TooLarge(usize),
     /// The text differs from what an earlier attempt delivered.
     #[error("the attempt differs from the one passed on before")]
     Diverged,
@@ -64,8 +70,7 @@
 /// Event stream of one attempt.
 #[derive(Debug)]
 pub struct EventStream {
-    body: Incoming,
-    splitter: Splitter,
+    body: AnswerBody,
 }
 
 impl EventStream {
@@ -124,38 +129,31 @@
         if response.status() != StatusCode::OK {
             return Err(OpenError::Status(response.status()));
         }
+        let (head, incoming) = response.into_parts();
         Ok(Self {
-            body: response.into_body(),
-            splitter: Splitter::default(),
+            body: AnswerBody::events(&head, incoming),
         })
     }
 
-    /// Returns the next complete events; may be empty. Cancel safe.
+    /// Returns the next complete events. Cancel safe.
     ///
     /// # Errors
     ///
     /// [`ReadFault::Interrupted`] at the end of the body too: a complete answer ends with its last
     /// event, after which this is not called.
     pub async fn next_events(&mut self) -> Result<Bytes, ReadFault> {
-        match self.body.frame().await {
-            Some(Ok(frame)) => match frame.into_data() {
-                Ok(data) => Ok(self.splitter.push(data)?),
-                Err(_) => Ok(Bytes::new()),
-            },
-            Some(Err(_)) | None => Err(ReadFault::Interrupted),
+        match self.body.next().await {
+            Ok(Some(events)) => Ok(events),
+            Ok(None) => Err(ReadFault::Interrupted),
+            Err(AnswerFault::EventTooLong(error)) => Err(error.into()),
+            Err(AnswerFault::TooLarge(max_bytes)) => Err(ReadFault::TooLarge(max_bytes)),
+            Err(_) => Err(ReadFault::Interrupted),
         }
     }
 
     /// Reads the end of the body in the background, so that the connection can be reused.
-    pub fn drain(mut self) {
-        if let Some(None) = self.body.frame().now_or_never() {
-            return;
-        }
-        tokio::spawn(async move {
-            let end = async { while let Some(Ok(_)) = self.body.frame().await {} };
-            // On a timeout the body is dropped, which closes the connection.
-            let _ = tokio::time::timeout(DRAIN_TIMEOUT, end).await;
-        });
+    pub fn drain(self) {
+        tokio::spawn(self.body.drain(DRAIN_TIMEOUT));
     }
 }
 
@@ -271,7 +269,7 @@
     ) -> Result<Bytes, ReadFault> {
         let mut part_start = 0;
         let mut part_end = 0;
-        for event in sse::split_events(events.clone()) {
+        for event in events::split_events(events.clone()) {
             let skip = self.read_event(&event, delivered)?;
             if !self.held_events.is_empty() {
                 continue;
--- a/crates/fleet/src/filters/call.rs
+++ b/crates/fleet/src/filters/call.rs
@@ -34,7 +34,7 @@
 use crate::edges::http::ReplyBody;
 use crate::edges::http::SendError;
 use crate::edges::http::client;
-use crate::edges::http::read_bounded;
+use crate::edges::http::read_answer;
 use crate::filters::Chain;
 use crate::filters::chat::read_body;
 use crate::filters::chat::refusal_response;
@@ -326,14 +326,17 @@
         response: Response<Incoming>,
         timeout: Duration,
     ) -> Result<Answer, SendError> {
-        let (head, body) = response.into_parts();
-        let body = read_bounded(body, self.settings.body, timeout).await;
+        let read = read_answer(response, self.settings.body, timeout).await;
+        let (head, body) = read.map_err(|fault| {
+            log::info!(target: "upstream", error:% = fault; "answer of a service is not complete");
+            SendError::Broken
+        })?;
         let mut headers = end_to_end(&head.headers);
         headers.remove(IDEMPOTENCY_KEY_HEADER);
         Ok(Answer {
             status: head.status,
             headers,
-            body: body.map_err(|_| SendError::Broken)?,
+            body,
         })
     }
 }
--- a/crates/fleet/src/filters/sse.rs
+++ b/crates/fleet/src/filters/sse.rs
@@ -8,16 +8,14 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-/// Longest single event, in bytes.
-const MAX_EVENT_BYTES: usize = 256 << 10;
 /// Separator after each event.
 const EVENT_END: &[u8] = b"\n\n";
 
 /// Why a stream of events is invalid.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum StreamError {
-    /// An event is longer than `MAX_EVENT_BYTES`.
-    #[error("an event is longer than {MAX_EVENT_BYTES} bytes")]
+    /// The last events of an answer are too long to be held.
+    #[error("the end of the answer is too long")]
     TooLong,
     /// An event is not of the expected form.
     #[error("an event is malformed")]
@@ -27,67 +25,6 @@
     Foreign,
 }
 
-/// Splits a stream of bytes into complete events.
-#[derive(Debug, Default)]
-pub struct Splitter {
-    /// The beginning of an event whose end has not arrived.
-    partial: BytesMut,
-}
-
-impl Splitter {
-    /// Adds bytes and returns the complete events; the rest is kept for the next call.
-    ///
-    /// # Errors
-    ///
-    /// [`StreamError::TooLong`] if an event is longer than 256 KiB.
-    pub fn push(&mut self, frame: Bytes) -> Result<Bytes, StreamError> {
-        if self.partial.is_empty() && frame.ends_with(EVENT_END) {
-            return Ok(frame);
-        }
-        let searched = self.partial.len().saturating_sub(EVENT_END.len() - 1);
-        self.partial.extend_from_slice(&frame);
-        let found = self.partial[searched..]
-            .windows(EVENT_END.len())
-            .rposition(|bytes| bytes == EVENT_END);
-        let Some(found) = found else {
-            if self.partial.len() > MAX_EVENT_BYTES {
-                return Err(StreamError::TooLong);
-            }
-            return Ok(Bytes::new());
-        };
-        Ok(self
-            .partial
-            .split_to(searched + found + EVENT_END.len())
-            .freeze())
-    }
-
-    /// Takes the incomplete event at the end of the stream.
-    pub fn take_partial(&mut self) -> Bytes {
-        self.partial.split().freeze()
-    }
-}
-
-/// Returns the number in the `id` field of an event, if it has one.
-pub fn event_id(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(value).ok()?.trim().parse().ok()
-}
-
-/// Iterates over complete events, each with its separator.
-pub fn split_events(mut events: Bytes) -> impl Iterator<Item = Bytes> {
-    std::iter::from_fn(move || {
-        if events.is_empty() {
-            return None;
-        }
-        let end = events
-            .windows(EVENT_END.len())
-            .position(|bytes| bytes == EVENT_END);
-        let length = end.map_or(events.len(), |end| end + EVENT_END.len());
-        Some(events.split_to(length))
-    })
-}
-
 /// Token usage as reported by an upstream.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
 pub struct Usage {
@@ -154,7 +91,7 @@
 pub fn parse_event<'a>(event: &'a [u8], id: &str) -> Result<Event<'a>, StreamError> {
     let Some(data) = event.strip_prefix(b"data:") else {
         return match event.first() {
-            Some(b':' | b'\n') => Ok(Event::Empty),
+            Some(b':' | b'\n' | b'\r') => Ok(Event::Empty),
             _ => Err(StreamError::Malformed),
         };
     };
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::upstream::AttemptOutcome;
 use chestnutnotch_core::upstream::ChoiceError;
@@ -18,16 +17,14 @@
 use http::Uri;
 use http::header;
 use http::response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::body::Body;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
 use crate::dialect::HopMetadata;
 use crate::dialect::ResponseMetadata;
-use crate::edges::http::Framing;
+use crate::edges::http::AnswerBody;
+use crate::edges::http::AnswerFault;
 use crate::edges::http::ReplyBody;
 use crate::edges::http::pool::Connection;
 use crate::edges::http::pool::ExchangeError;
@@ -101,10 +98,8 @@
     pub connection: Connection,
     /// Status and headers.
     pub head: response::Parts,
-    /// What marks the end of the body.
-    pub framing: Framing,
     /// The part of the body that was not read yet.
-    pub body: Incoming,
+    pub body: AnswerBody,
     /// The part of the body that was read but not forwarded.
     pub received: Bytes,
 }
@@ -226,18 +221,20 @@
         Ok(Err(error)) => return Err(on_broken(job, attempt, &error)),
         Err(_) => return Err(on_timeout(job, attempt)),
     };
-    let (head, body) = response.into_parts();
+    let (head, incoming) = response.into_parts();
+    let body = match job.route.kind.is_stream() && head.status == StatusCode::OK {
+        true => AnswerBody::events(&head, incoming),
+        false => AnswerBody::opaque(&head, incoming),
+    };
+    job.gateway.metrics.framings.add(body.framing().label());
     let metadata = job.gateway.dialect.read_answer(head.status, &head.headers);
     if let Some(load) = metadata.load {
         job.gateway.upstreams.update_load(&attempt.pick, load);
     }
-    let framing = Framing::of(&head, &body);
-    job.gateway.metrics.framings.add(framing.label());
     let opened = OpenResponse {
         attempt,
         connection,
         head,
-        framing,
         body,
         received: Bytes::new(),
     };
@@ -249,7 +246,7 @@
         opened.attempt.end(AttemptOutcome::Broken);
         return Err(AttemptFailure::maybe_ran(Refusal::AnswerLost));
     }
-    match job.route.kind.is_stream() && opened.head.status == StatusCode::OK {
+    match opened.body.is_events() {
         true => await_first_events(job, opened, deadline).await,
         false => read_whole(job, opened, deadline).await,
     }
@@ -378,6 +375,15 @@
     }
 }
 
+/// Handles an answer that is not complete.
+fn on_fault(job: &mut Job, attempt: AttemptGuard, fault: &AnswerFault) -> AttemptFailure {
+    log::info!(target: "upstream", id = &*job.metadata.attempt_id, upstream:% = attempt.pick.upstream, error:% = fault; "answer is not complete");
+    job.gateway.metrics.faults.add(fault.label());
+    job.reason = fault.label();
+    attempt.end(AttemptOutcome::Broken);
+    AttemptFailure::maybe_ran(Refusal::AnswerLost)
+}
+
 /// Handles an upstream that did not answer in time.
 fn on_timeout(job: &mut Job, attempt: AttemptGuard) -> AttemptFailure {
     job.reason = "late";
@@ -409,11 +415,10 @@
 }
 
 /// Reads the rest of an answer in the background, so that its connection can be reused.
-fn drain(job: &Job, connection: Connection, head: response::Parts, mut body: Incoming) {
+fn drain(job: &Job, connection: Connection, head: response::Parts, body: AnswerBody) {
     let pool = job.gateway.pool.clone();
     tokio::spawn(async move {
-        let end = async { while let Some(Ok(_)) = body.frame().await {} };
-        if tokio::time::timeout(DRAIN_TIMEOUT, end).await.is_ok() && body.is_end_stream() {
+        if body.drain(DRAIN_TIMEOUT).await {
             pool.keep(connection, &head.headers);
         }
     });
@@ -423,48 +428,29 @@
 /// reported as an error. Answers larger than [`MAX_BUFFERED_BYTES`] are returned as streams.
 async fn read_whole(
     job: &mut Job,
-    opened: OpenResponse,
+    mut opened: OpenResponse,
     deadline: Instant,
 ) -> Result<AttemptResponse, AttemptFailure> {
+    let reading = opened.body.read_up_to(MAX_BUFFERED_BYTES);
+    let (buffer, is_complete) = match timeout_at(deadline, reading).await {
+        Ok(Ok(read)) => read,
+        Ok(Err(fault)) => return Err(on_fault(job, opened.attempt, &fault)),
+        Err(_) => return Err(on_timeout(job, opened.attempt)),
+    };
+    if !is_complete {
+        opened.received = buffer;
+        return Ok(AttemptResponse::Stream(Box::new(opened)));
+    }
     let OpenResponse {
         attempt,
         connection,
         head,
-        framing,
-        mut body,
         ..
     } = opened;
-    let mut buffer = BytesMut::new();
-    loop {
-        match timeout_at(deadline, body.frame()).await {
-            Ok(None) => break,
-            Ok(Some(Ok(frame))) => {
-                if let Some(data) = frame.data_ref() {
-                    buffer.extend_from_slice(data);
-                }
-            }
-            Ok(Some(Err(error))) => {
-                return Err(on_broken(job, attempt, &ExchangeError::Broken(error)));
-            }
-            Err(_) => return Err(on_timeout(job, attempt)),
-        }
-        if buffer.len() > MAX_BUFFERED_BYTES {
-            let opened = OpenResponse {
-                attempt,
-                connection,
-                head,
-                framing,
-                body,
-                received: buffer.freeze(),
-            };
-            return Ok(AttemptResponse::Stream(Box::new(opened)));
-        }
-    }
     attempt.end(AttemptOutcome::Completed);
     job.gateway.pool.keep(connection, &head.headers);
     let status = head.status;
-    let response =
-        Response::from_parts(stream::strip_head(head), ReplyBody::whole(buffer.freeze()));
+    let response = Response::from_parts(stream::strip_head(head), ReplyBody::whole(buffer));
     if status.is_server_error() {
         job.reason = "upstream_error";
         return Err(AttemptFailure {
@@ -483,20 +469,16 @@
     mut opened: OpenResponse,
     deadline: Instant,
 ) -> Result<AttemptResponse, AttemptFailure> {
-    match timeout_at(deadline, stream::next_data(&mut opened.body)).await {
-        Ok(Some(Ok(data))) => {
-            opened.received = data;
+    match timeout_at(deadline, opened.body.next()).await {
+        Ok(Ok(Some(events))) => {
+            opened.received = events;
             job.gateway
                 .upstreams
                 .record_answer_start(opened.attempt.pick.attempt);
             Ok(AttemptResponse::Stream(Box::new(opened)))
         }
-        Ok(None) => Ok(AttemptResponse::Stream(Box::new(opened))),
-        Ok(Some(Err(error))) => Err(on_broken(
-            job,
-            opened.attempt,
-            &ExchangeError::Broken(error),
-        )),
+        Ok(Ok(None)) => Ok(AttemptResponse::Stream(Box::new(opened))),
+        Ok(Err(fault)) => Err(on_fault(job, opened.attempt, &fault)),
         Err(_) => Err(on_timeout(job, opened.attempt)),
     }
 }
--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -9,19 +9,16 @@
 use http::Response;
 use http::header;
 use http::response;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::edges::http::AnswerFault;
 use crate::edges::http::Framing;
 use crate::edges::http::Part;
 use crate::edges::http::ReplyBody;
-use crate::filters::sse;
-use crate::filters::sse::Splitter;
-use crate::filters::sse::StreamError;
+use crate::edges::http::events;
 use crate::gateway::exchange;
 use crate::gateway::exchange::AttemptResponse;
 use crate::gateway::exchange::OpenResponse;
@@ -47,12 +44,9 @@
 /// Why a stream ended early.
 #[derive(Debug, Error)]
 enum StreamFault {
-    /// The connection to the upstream broke.
-    #[error("the stream broke off: {0}")]
-    Broken(#[from] hyper::Error),
-    /// The events are malformed.
+    /// The stream is not complete.
     #[error(transparent)]
-    Events(#[from] StreamError),
+    Answer(#[from] AnswerFault),
     /// An event is missing or was sent twice.
     #[error("event {found} came where {expected} was due")]
     Order {
@@ -63,6 +57,16 @@
     },
 }
 
+impl StreamFault {
+    /// Returns the name of the fault in metrics.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Answer(fault) => fault.label(),
+            Self::Order { .. } => "order",
+        }
+    }
+}
+
 /// How forwarding a stream ended.
 enum StreamEnd {
     Whole,
@@ -96,20 +100,6 @@
     head
 }
 
-/// Returns the next bytes of a body, or `None` at its end. Trailers are skipped.
-pub async fn next_data(body: &mut Incoming) -> Option<Result<Bytes, hyper::Error>> {
-    loop {
-        match body.frame().await? {
-            Ok(frame) => {
-                if let Ok(data) = frame.into_data() {
-                    return Some(Ok(data));
-                }
-            }
-            Err(error) => return Some(Err(error)),
-        }
-    }
-}
-
 /// Returns an answer whose body is forwarded from the upstream by a task of its own.
 pub fn relay(job: Job, mut opened: OpenResponse) -> Response<ReplyBody> {
     let (tx, rx) = mpsc::channel(MAX_QUEUED_CHUNKS);
@@ -124,8 +114,6 @@
         job,
         tx,
         event_count: 0,
-        partial_bytes: 0,
-        framing: opened.framing,
         status: parts.status,
     };
     tokio::spawn(relay.run(opened));
@@ -140,10 +128,6 @@
     last_event: Option<u64>,
     /// Number of events forwarded.
     event_count: u64,
-    /// Size of the incomplete event at the end of the body, for the log.
-    partial_bytes: usize,
-    /// Framing of the last upstream's answer, for the log.
-    framing: Framing,
     /// Status of the answer, for the log.
     status: http::StatusCode,
 }
@@ -155,6 +139,7 @@
         self.job.gateway.metrics.observe_latency(kind, first);
         loop {
             let end = self.forward_events(&mut opened).await;
+            let framing = opened.body.framing();
             let outcome = match end {
                 StreamEnd::Whole => {
                     opened.attempt.end(AttemptOutcome::Completed);
@@ -168,13 +153,17 @@
                 StreamEnd::DeadlinePassed => "overdue",
                 StreamEnd::Faulty(fault) => {
                     let upstream = opened.attempt.pick.upstream.clone();
-                    log::info!(target: "upstream", id = &*self.job.metadata.attempt_id, upstream:% = upstream, error:% = fault, events = self.event_count; "stream broke off");
+                    log::info!(target: "upstream", id = &*self.job.metadata.attempt_id, upstream:% = upstream, error:% = fault, framing = framing.label(), events = self.event_count; "stream broke off");
+                    self.job.gateway.metrics.faults.add(fault.label());
                     opened.attempt.end(AttemptOutcome::Broken);
                     self.job.runs += 1;
                     self.job.reason = "stream_broke";
-                    match self.resume().await {
+                    let next = match opened.body.is_events() {
+                        true => self.resume().await,
+                        false => None,
+                    };
+                    match next {
                         Some(next) => {
-                            self.framing = next.framing;
                             opened = next;
                             continue;
                         }
@@ -182,7 +171,7 @@
                     }
                 }
             };
-            self.log(outcome, first);
+            self.log(outcome, first, framing);
             return;
         }
     }
@@ -190,55 +179,41 @@
     /// Forwards events until the stream ends, fails, times out or is abandoned by the caller.
     async fn forward_events(&mut self, opened: &mut OpenResponse) -> StreamEnd {
         let deadline = Instant::now() + Duration::from_millis(self.job.time_left().0);
-        let mut splitter = Splitter::default();
-        let mut next = Some(Ok(std::mem::take(&mut opened.received)));
+        let mut part = std::mem::take(&mut opened.received);
         loop {
-            match next {
-                Some(Ok(bytes)) => match splitter.push(bytes) {
-                    Ok(whole) if whole.is_empty() => {}
-                    Ok(whole) => {
-                        if let Err(fault) = self.check_events(&whole) {
-                            return StreamEnd::Faulty(fault);
-                        }
-                        let sending = self.tx.send(Part::Data(whole));
-                        match timeout_at(deadline, sending).await {
-                            Ok(Ok(())) => {}
-                            Ok(Err(_)) => return StreamEnd::CallerGone,
-                            Err(_) => return StreamEnd::DeadlinePassed,
-                        }
-                    }
-                    Err(error) => return StreamEnd::Faulty(error.into()),
-                },
-                Some(Err(error)) => return StreamEnd::Faulty(StreamFault::Broken(error)),
-                None => return self.finish(&mut splitter).await,
+            if opened.body.is_events()
+                && let Err(fault) = self.check_events(&part)
+            {
+                return StreamEnd::Faulty(fault);
+            }
+            if !part.is_empty() {
+                let sending = self.tx.send(Part::Data(part));
+                match timeout_at(deadline, sending).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return StreamEnd::CallerGone,
+                    Err(_) => return StreamEnd::DeadlinePassed,
+                }
             }
-            next = tokio::select! {
+            let next = tokio::select! {
                 biased;
                 () = self.tx.closed() => return StreamEnd::CallerGone,
-                read = timeout_at(deadline, next_data(&mut opened.body)) => match read {
-                    Ok(read) => read,
-                    Err(_) => return StreamEnd::DeadlinePassed,
-                },
+                next = timeout_at(deadline, opened.body.next()) => next,
+            };
+            part = match next {
+                Ok(Ok(Some(part))) => part,
+                Ok(Ok(None)) => return StreamEnd::Whole,
+                Ok(Err(fault)) => return StreamEnd::Faulty(fault.into()),
+                Err(_) => return StreamEnd::DeadlinePassed,
             };
         }
     }
 
-    /// Forwards the bytes after the last complete event, with which a complete stream may end.
-    async fn finish(&mut self, splitter: &mut Splitter) -> StreamEnd {
-        let rest = splitter.take_partial();
-        self.partial_bytes = rest.len();
-        if !rest.is_empty() && self.tx.send(Part::Data(rest)).await.is_err() {
-            return StreamEnd::CallerGone;
-        }
-        StreamEnd::Whole
-    }
-
     /// Checks that the events have consecutive numbers, then counts and charges them.
     fn check_events(&mut self, whole: &Bytes) -> Result<(), StreamFault> {
         let mut last = self.last_event;
         let mut count = 0;
-        for event in sse::split_events(whole.clone()) {
-            let Some(found) = sse::event_id(&event) else {
+        for event in events::split_events(whole.clone()) {
+            let Some(found) = events::event_id(&event) else {
                 continue;
             };
             let expected = last.map(|last| last + 1);
@@ -267,12 +242,12 @@
                 response = attempt => response,
             };
             match response {
-                Ok(AttemptResponse::Stream(opened)) => {
+                Ok(AttemptResponse::Stream(opened)) if opened.body.is_events() => {
                     self.job.gateway.metrics.resumes.add("resumed");
                     log::info!(target: "request", id = &*self.job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream, after = self.last_event.unwrap_or(0); "stream resumed");
                     return Some(*opened);
                 }
-                Ok(AttemptResponse::Complete(_)) => break,
+                Ok(AttemptResponse::Stream(_) | AttemptResponse::Complete(_)) => break,
                 Err(failure) => self.job.runs += u32::from(failure.maybe_ran),
             }
         }
@@ -282,7 +257,7 @@
 
     /// Logs the end of the stream and counts it in the metrics. `first` is the time until the first
     /// events, in milliseconds.
-    fn log(&self, outcome: &'static str, first: u64) {
+    fn log(&self, outcome: &'static str, first: u64, framing: Framing) {
         let job = &self.job;
         let kind = crate::gateway::front::kind_label(job.route.kind);
         job.gateway.metrics.count_pass_through(kind, outcome);
@@ -291,7 +266,7 @@
             target: "request",
             id = &*job.metadata.attempt_id, route = &*job.route.name, kind, outcome,
             status = self.status.as_u16(), first, ms = job.elapsed().0, events = self.event_count,
-            framing = self.framing.label(), partial = self.partial_bytes,
+            framing = framing.label(),
             sends = job.sends, reason = job.reason,
             upstream = job.tried.last().map_or("", |upstream| upstream.as_str()),
             charged = job.charge.as_ref().map_or(0, |charge| charge.due().0);
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -76,6 +76,8 @@
     pub connections: OutcomeCounter,
     /// Answers of upstreams to pass-through requests by what marks the end of the body.
     pub framings: OutcomeCounter,
+    /// Such answers that are not complete or not valid, by fault.
+    pub faults: OutcomeCounter,
     /// Fetches of newer routes from other nodes by outcome.
     pub plan_fetches: OutcomeCounter,
     /// Requests to other routers for tokens: lent, empty or failed.
@@ -142,6 +144,7 @@
             revision: Gauge::default(),
             connections: OutcomeCounter::default(),
             framings: OutcomeCounter::default(),
+            faults: OutcomeCounter::default(),
             plan_fetches: OutcomeCounter::default(),
             loans: OutcomeCounter::default(),
             pass_through: Family::default(),
@@ -171,6 +174,7 @@
             ("spreads", "Messages between routers", &self.spreads),
             ("connections", "Connections to upstreams", &self.connections),
             ("answer_framings", "Answers by framing", &self.framings),
+            ("answer_faults", "Broken answers by fault", &self.faults),
             (
                 "plan_fetches",
                 "Fetches of newer routes",
