Bound the interim answers of an upstream

What callers saw: nothing. An upstream that sent interim answers (status 1xx) without end kept a router busy until the request's deadline: 648 MB in 2 s.

Cause: the HTTP library skips interim answers, and its bound on the size of a head holds for each of them.

Both clients use it.

--- a/crates/fleet/src/edges/http/client.rs
+++ b/crates/fleet/src/edges/http/client.rs
@@ -17,6 +17,8 @@
 use hyper_util::rt::TokioTimer;
 use thiserror::Error;
 
+use crate::edges::http::interim::limit_interim;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Bound on the idle connections that are kept to one address.
@@ -30,7 +32,7 @@
     /// No connection was made, so no byte of the request was sent.
     #[error("no connection")]
     Unreachable,
-    /// The connection broke after the request may have been sent.
+    /// The connection broke, or gave no answer, after the request may have been sent.
     #[error("the connection broke")]
     Broken,
     /// The head of the response did not arrive in time.
@@ -131,8 +133,15 @@
     call: Call,
     timeout: Duration,
 ) -> Result<Response<Incoming>, SendError> {
-    let request = build_request(call)?;
-    match tokio::time::timeout(timeout, client.request(request)).await {
+    let mut request = build_request(call)?;
+    let too_many = limit_interim(&mut request);
+    let sending = tokio::time::timeout(timeout, client.request(request));
+    let sent = tokio::select! {
+        biased;
+        () = too_many => return Err(SendError::Broken),
+        sent = sending => sent,
+    };
+    match sent {
         Ok(Ok(response)) => Ok(response),
         Ok(Err(error)) if error.is_connect() => Err(SendError::Unreachable),
         Ok(Err(_)) => Err(SendError::Broken),
--- a/crates/fleet/src/edges/http/mod.rs
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -11,6 +11,7 @@
 pub mod client;
 pub mod events;
 pub mod framing;
+pub mod interim;
 pub mod pool;
 pub mod read;
 pub mod server;
--- a/crates/fleet/src/edges/http/pool.rs
+++ b/crates/fleet/src/edges/http/pool.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::edges::http::interim::limit_interim;
 use crate::edges::http::socket;
 
 /// Bound on the time to open a connection. It allows many round trips within a region. A full
@@ -70,6 +71,9 @@
     /// The connection broke after the request may have been sent.
     #[error("the connection broke: {0}")]
     Broken(hyper::Error),
+    /// The upstream sent too many interim answers.
+    #[error("too many interim answers")]
+    NoAnswer,
 }
 
 /// An open connection to an upstream.
@@ -171,13 +175,18 @@
     ///
     /// # Errors
     ///
-    /// [`ExchangeError::Closed`] if nothing was sent, [`ExchangeError::Broken`] if the request may
-    /// have been sent.
+    /// [`ExchangeError::Closed`] if nothing was sent, [`ExchangeError::Broken`] or
+    /// [`ExchangeError::NoAnswer`] if the request may have been sent.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
-        let sent = self.sender.try_send_request(request).await;
+        let too_many = limit_interim(&mut request);
+        let sent = tokio::select! {
+            biased;
+            () = too_many => return Err(ExchangeError::NoAnswer),
+            sent = self.sender.try_send_request(request) => sent,
+        };
         sent.map_err(|mut error| match error.take_message() {
             Some(_) => ExchangeError::Closed,
             None => ExchangeError::Broken(error.into_error()),
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -367,7 +367,7 @@
             drop(attempt);
             AttemptFailure::not_run(Refusal::NoUpstream)
         }
-        ExchangeError::Broken(_) => {
+        ExchangeError::Broken(_) | ExchangeError::NoAnswer => {
             job.reason = "broken";
             attempt.end(AttemptOutcome::Broken);
             AttemptFailure::maybe_ran(Refusal::AnswerLost)
