Refuse a switch of protocols that nobody asked for

What callers saw: an upstream's 101 was forwarded, after which the caller takes all bytes for another protocol.

Cause: an answer needs a signature only if it is a success, and 101 is neither that nor a failure.

Change: an interim answer is never an answer. Test: switch_of_protocols_that_nobody_asked_for got 101 before, 502 now.

--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -343,13 +343,13 @@
 }
 
 /// Returns whether the answer belongs to this request and comes from an upstream: its id, if any,
-/// has to match, and a successful answer has to be signed.
+/// has to match, and a successful answer has to be signed. An interim answer is none.
 fn is_genuine(job: &Job, metadata: &ResponseMetadata, status: StatusCode) -> bool {
     let id_matches = metadata
         .attempt_id
         .as_ref()
         .is_none_or(|id| *id == job.metadata.attempt_id);
-    id_matches && (metadata.signed || !status.is_success())
+    id_matches && !status.is_informational() && (metadata.signed || !status.is_success())
 }
 
 /// Handles a connection that failed before the answer was complete.
