End a streamed chat explicitly

What callers saw: a chat whose last events were not taken before the deadline ended with a last chunk, so only the missing [DONE] told that it was cut off.

Cause: a streamed chat was complete when its channel closed, and the channel also closes when the run is dropped.

Change: chats send Part::End like pass-through streams, after the last event or the error event; a channel that closes without it truncates the body. The variant without an explicit end is gone.

--- a/crates/fleet/src/edges/http/body.rs
+++ b/crates/fleet/src/edges/http/body.rs
@@ -17,16 +17,14 @@
 pub enum ReplyBody {
     /// A complete body; `None` once it was sent.
     Whole(Option<Bytes>),
-    /// A streamed body. The end of the channel is the end of the body.
-    Stream(mpsc::Receiver<Bytes>),
     /// A streamed body with an explicit end. If the channel ends without [`Part::End`], the
     /// connection is closed, so that the caller sees a truncated body.
-    Relayed(mpsc::Receiver<Part>),
+    Stream(mpsc::Receiver<Part>),
     /// A truncated body whose last bytes may still be in the write buffer.
     Truncated,
 }
 
-/// Item of a [`ReplyBody::Relayed`] channel.
+/// Item of a [`ReplyBody::Stream`] channel.
 #[derive(Debug)]
 pub enum Part {
     /// The next bytes of the body.
@@ -35,7 +33,7 @@
     End,
 }
 
-/// Error that ends a relayed body whose channel closed before [`Part::End`].
+/// Error that ends a streamed body whose channel closed before [`Part::End`].
 #[derive(Clone, Copy, Debug, Error)]
 #[error("the body ended early")]
 pub struct TruncatedBody;
@@ -58,10 +56,7 @@
         let body = self.get_mut();
         match body {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Stream(parts) => parts
-                .poll_recv(context)
-                .map(|part| part.map(|b| Ok(Frame::data(b)))),
-            Self::Relayed(parts) => match ready!(parts.poll_recv(context)) {
+            Self::Stream(parts) => match ready!(parts.poll_recv(context)) {
                 Some(Part::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
                 Some(Part::End) => Poll::Ready(None),
                 None => {
@@ -79,7 +74,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.is_none(),
-            Self::Stream(_) | Self::Relayed(_) | Self::Truncated => false,
+            Self::Stream(_) | Self::Truncated => false,
         }
     }
 
@@ -88,7 +83,7 @@
             Self::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            Self::Stream(_) | Self::Relayed(_) | Self::Truncated => SizeHint::default(),
+            Self::Stream(_) | Self::Truncated => SizeHint::default(),
         }
     }
 }
--- a/crates/fleet/src/filters/output.rs
+++ b/crates/fleet/src/filters/output.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::edges::http::Part;
 use crate::edges::http::ReplyBody;
 use crate::filters::idempotency::MAX_RECORDED_BYTES;
 use crate::filters::refusal::Refusal;
@@ -36,7 +37,7 @@
     /// Takes the response with its headers; empty once sent.
     response_tx: Option<oneshot::Sender<Response<ReplyBody>>>,
     /// Takes the parts of a streamed body once the response was sent.
-    body_tx: Option<mpsc::Sender<Bytes>>,
+    body_tx: Option<mpsc::Sender<Part>>,
     /// Copy of the body for the record.
     copy: BytesMut,
     /// Whether the copy is still within [`MAX_RECORDED_BYTES`].
@@ -93,7 +94,7 @@
             response_tx.send(response).map_err(|_| CallerGone)?;
         }
         match &self.body_tx {
-            Some(parts) => parts.send(part).await.map_err(|_| CallerGone),
+            Some(parts) => parts.send(Part::Data(part)).await.map_err(|_| CallerGone),
             None => Ok(()),
         }
     }
@@ -102,7 +103,10 @@
     pub async fn finish(mut self, last: Bytes) -> Option<Bytes> {
         match self.format {
             // The answer is complete and billed; a caller that has gone can get it by a resend.
-            AnswerFormat::Stream => drop(self.send(last).await),
+            AnswerFormat::Stream => {
+                drop(self.send(last).await);
+                self.end().await;
+            }
             AnswerFormat::Json => {
                 self.copy_part(&last);
                 if let Some(response_tx) = self.response_tx.take() {
@@ -122,7 +126,17 @@
             return;
         }
         if let Some(parts) = &self.body_tx {
-            drop(parts.send(sse::data_event(&refusal.json())).await);
+            let event = Part::Data(sse::data_event(&refusal.json()));
+            drop(parts.send(event).await);
+            self.end().await;
+        }
+    }
+
+    /// Marks a streamed body as complete. Without this, the caller sees a truncated body.
+    async fn end(&self) {
+        if let Some(parts) = &self.body_tx {
+            // Fails only if the caller has gone.
+            drop(parts.send(Part::End).await);
         }
     }
 
--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -117,7 +117,7 @@
         status: parts.status,
     };
     tokio::spawn(relay.run(opened));
-    Response::from_parts(parts, ReplyBody::Relayed(rx))
+    Response::from_parts(parts, ReplyBody::Stream(rx))
 }
 
 /// Forwards the streamed answer of one request, over several upstreams if it is resumed.
