Don't resume a stream whose events have no numbers

What callers saw: by a test only. Events without numbers that had arrived before a break came twice on a resumable route.

Cause: without the number of a last event, the rest of a stream is asked for from its beginning.

Change: a stream that had an event with data and no number is not resumed; it ends as broken off.

--- a/crates/fleet/src/edges/http/events.rs
+++ b/crates/fleet/src/edges/http/events.rs
@@ -79,6 +79,12 @@
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
 
+/// Returns whether an event carries data. Comments, for example, don't.
+pub fn has_data(event: &[u8]) -> bool {
+    let mut lines = event.split(is_line_end);
+    lines.any(|line| line.starts_with(b"data"))
+}
+
 fn is_line_end(byte: &u8) -> bool {
     matches!(byte, b'\n' | b'\r')
 }
--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -113,6 +113,7 @@
         last_event: job.metadata.resume_after,
         job,
         tx,
+        has_unnumbered: false,
         event_count: 0,
         status: parts.status,
     };
@@ -126,6 +127,8 @@
     tx: mpsc::Sender<Part>,
     /// Number of the last event that was forwarded, or that the caller resumes after.
     last_event: Option<u64>,
+    /// Whether an event with data had no number, so that a resumed stream could repeat it.
+    has_unnumbered: bool,
     /// Number of events forwarded.
     event_count: u64,
     /// Status of the answer, for the log.
@@ -158,7 +161,7 @@
                     opened.attempt.end(AttemptOutcome::Broken);
                     self.job.runs += 1;
                     self.job.reason = "stream_broke";
-                    let next = match opened.body.is_events() {
+                    let next = match opened.body.is_events() && !self.has_unnumbered {
                         true => self.resume().await,
                         false => None,
                     };
@@ -214,6 +217,7 @@
         let mut count = 0;
         for event in events::split_events(whole.clone()) {
             let Some(found) = events::event_id(&event) else {
+                self.has_unnumbered |= events::has_data(&event);
                 continue;
             };
             let expected = last.map(|last| last + 1);
