Reset the connection of an HTTP/1.0 caller whose answer is broken

HTTP/1.0 has no chunks, so a streamed answer ends with its connection, and a broken one was closed like a complete one.

Cause: the HTTP server drops a connection whose body fails; the kernel then closes it in order.

Change: once a caller has spoken HTTP/1.0, its socket is set to be reset unless the server shuts it down first. That holds when the process is killed too. HTTP/1.1 callers are not affected: there the last chunk or the length tells, and bytes on their way are not dropped.

--- /dev/null
+++ b/crates/fleet/src/edges/http/caller.rs
@@ -0,0 +1,113 @@
+//! Connection of a caller, which can be made to show a broken answer by a reset.
+
+use std::io;
+use std::io::IoSlice;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+/// TCP stream of a caller. Once [`ResetSwitch::turn_on`] was called, it is reset unless it is shut
+/// down first, also when the process is killed.
+///
+/// A caller that speaks HTTP/1.0 takes the end of the connection for the end of a streamed answer.
+#[derive(Debug)]
+pub struct CallerStream {
+    stream: TcpStream,
+    switch: ResetSwitch,
+    /// Whether the socket is set to be reset when it is closed.
+    is_set: bool,
+}
+
+/// Makes a [`CallerStream`] end with a reset.
+#[derive(Clone, Debug, Default)]
+pub struct ResetSwitch(Arc<AtomicBool>);
+
+impl ResetSwitch {
+    /// Takes effect before the next bytes are written.
+    pub fn turn_on(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+impl CallerStream {
+    /// Returns the stream and the switch that makes it end with a reset.
+    pub fn new(stream: TcpStream) -> (Self, ResetSwitch) {
+        let switch = ResetSwitch::default();
+        let caller = Self {
+            stream,
+            switch: switch.clone(),
+            is_set: false,
+        };
+        (caller, switch)
+    }
+
+    /// Sets the socket to be reset when it is closed, or to send what is left.
+    fn set_reset(&mut self, reset: bool) -> io::Result<()> {
+        if self.is_set != reset {
+            let linger = reset.then_some(Duration::ZERO);
+            SockRef::from(&self.stream).set_linger(linger)?;
+            self.is_set = reset;
+        }
+        Ok(())
+    }
+
+    fn before_write(&mut self) -> io::Result<()> {
+        match self.switch.0.load(Ordering::Relaxed) {
+            true => self.set_reset(true),
+            false => Ok(()),
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.before_write()?;
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.before_write()?;
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.set_reset(false)?;
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/fleet/src/edges/http/mod.rs
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod answer;
 pub mod body;
+pub mod caller;
 pub mod client;
 pub mod events;
 pub mod framing;
--- a/crates/fleet/src/edges/http/server.rs
+++ b/crates/fleet/src/edges/http/server.rs
@@ -7,6 +7,7 @@
 
 use http::Request;
 use http::Response;
+use http::Version;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -19,6 +20,7 @@
 use tokio::sync::oneshot;
 
 use super::ReplyBody;
+use super::caller::CallerStream;
 use super::socket;
 
 /// Bound on open connections. At the bound, new ones wait in the listen queue.
@@ -110,8 +112,12 @@
 ) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error> + Send {
     socket::set_options(&stream);
     let limits = handler.server_limits();
-    let service = service_fn(move |request| {
+    let (stream, reset) = CallerStream::new(stream);
+    let service = service_fn(move |request: Request<Incoming>| {
         let handler = Arc::clone(&handler);
+        if request.version() < Version::HTTP_11 {
+            reset.turn_on();
+        }
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
     http1::Builder::new()
--- a/crates/fleet/src/filters/output.rs
+++ b/crates/fleet/src/filters/output.rs
@@ -104,7 +104,7 @@
         match self.format {
             // The answer is complete and billed; a caller that has gone can get it by a resend.
             AnswerFormat::Stream => {
-                drop(self.send(last).await);
+                let _ = self.send(last).await;
                 self.end().await;
             }
             AnswerFormat::Json => {
