Test callers of chats and calls: an answer needs a length or chunks and its end

The end of the connection alone no longer counts as the end of an answer, and a chat whose body fails after [DONE] is not complete. A chat that breaks off at its upstream is logged with the fault.

--- a/crates/cli/tests/fleet/harness/chat.rs
+++ b/crates/cli/tests/fleet/harness/chat.rs
@@ -54,7 +54,8 @@
     pub finish_reason: String,
     /// Number of prompt tokens and of generated tokens.
     pub usage: Option<(u64, u64)>,
-    /// Whether the stream ended with `[DONE]` without an error, or the JSON answer was complete.
+    /// Whether the stream ended with `[DONE]` without an error, or the JSON answer was complete. The
+    /// end of the connection alone completes neither.
     pub complete: bool,
     /// Code of a refusal or of an error event.
     pub code: String,
@@ -236,9 +237,16 @@
     }
 }
 
+/// Returns whether a length or chunks tell where the body ends, and not only its connection.
+fn is_framed(answer: &Response<Incoming>) -> bool {
+    let headers = answer.headers();
+    headers.contains_key("content-length") || headers.contains_key("transfer-encoding")
+}
+
 /// Reads a JSON answer.
 async fn read_json(answer: Response<Incoming>) -> ChatAnswer {
     let mut chat = parse_headers(&answer);
+    let framed = is_framed(&answer);
     let Ok(body) = answer.into_body().collect().await else {
         return chat;
     };
@@ -246,28 +254,34 @@
         return chat;
     };
     chat.merge(&value, "message");
-    chat.complete = !chat.finish_reason.is_empty();
+    chat.complete = framed && !chat.finish_reason.is_empty();
     chat
 }
 
 /// Reads a stream of server-sent events.
 async fn read_events(answer: Response<Incoming>, request: &ChatRequest) -> ChatAnswer {
     let mut chat = parse_headers(&answer);
+    let framed = is_framed(&answer);
     let mut body = answer.into_body();
     let mut text = Vec::new();
-    while let Ok(Some(Ok(frame))) = tokio::time::timeout(MAX_WAIT, body.frame()).await {
+    let ended = loop {
+        let frame = match tokio::time::timeout(MAX_WAIT, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => break true,
+            Ok(Some(Err(_))) | Err(_) => break false,
+        };
         if let Some(progress) = &request.progress {
             let _ = progress.send(());
         }
         text.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data));
-    }
+    };
     for event in String::from_utf8_lossy(&text).split("\n\n") {
         let data: String = event
             .lines()
             .filter_map(|line| line.strip_prefix("data: "))
             .collect();
         if data == "[DONE]" {
-            chat.complete = chat.code.is_empty();
+            chat.complete = framed && ended && chat.code.is_empty();
         } else if let Ok(value) = serde_json::from_str::<Value>(&data) {
             chat.merge(&value, "delta");
         }
--- a/crates/fleet/src/filters/attempt.rs
+++ b/crates/fleet/src/filters/attempt.rs
@@ -147,7 +147,10 @@
             Ok(None) => Err(ReadFault::Interrupted),
             Err(AnswerFault::EventTooLong(error)) => Err(error.into()),
             Err(AnswerFault::TooLarge(max_bytes)) => Err(ReadFault::TooLarge(max_bytes)),
-            Err(_) => Err(ReadFault::Interrupted),
+            Err(fault) => {
+                log::info!(target: "upstream", error:% = fault; "chat broke off");
+                Err(ReadFault::Interrupted)
+            }
         }
     }
 
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -257,6 +257,9 @@
     };
     let response = client.send(call, TIMEOUT).await.unwrap();
     let (head, body) = response.into_parts();
+    let is_framed = head.headers.contains_key("content-length")
+        || head.headers.contains_key("transfer-encoding");
+    assert!(is_framed, "only its connection ends the answer: {head:?}");
     let body = tokio::time::timeout(TIMEOUT, body.collect()).await.unwrap();
     Answer {
         status: head.status,
