--- a/crates/fleet/src/edges/http/answer.rs
+++ b/crates/fleet/src/edges/http/answer.rs
@@ -81,7 +81,7 @@
     content: Content,
     /// Number of bytes that arrived.
     received: usize,
-    /// Whether an event was complete.
+    /// Whether [`AnswerBody::next`] has returned bytes: of a stream, a whole event.
     has_event: bool,
 }
 
