Count the lines that the log's writer holds towards its queue

Symptom: flood_into_a_full_pipe_is_dropped_and_told failed in 2 to 20 of 250 runs, more often beside builds. Cause: the writer collects up to 32 KiB of lines before its first write blocks; these had left the channel, so more lines than the setting allows were held while nobody reads. The check and its bound are as they were.

--- a/crates/fleet/src/logging.rs
+++ b/crates/fleet/src/logging.rs
@@ -1,19 +1,21 @@
 //! Structured logs: one JSON object a line on standard output, written without blocking the
 //! callers.
 //!
-//! Lines go through a bounded queue to a thread that writes them. When the queue is full, a line is
-//! dropped and counted; the count is logged with the next line that is written. Above a rate, lines
+//! Lines go through a bounded queue to a thread that writes them. A line counts towards the bound
+//! until it is written. When the queue is full, a line is dropped and counted; the count is logged
+//! with the next line that is written. Above a rate, lines
 //! about requests that were served at the first attempt are skipped and counted, so that a flood of
 //! them leaves room for the lines that explain failures.
 
 use std::io;
 use std::io::Write;
+use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
-use std::sync::mpsc::TrySendError;
 use std::time::Instant;
 use std::time::SystemTime;
 
@@ -82,12 +84,19 @@
 
 /// Starts logging to a writer. A second call in a process has no effect.
 pub fn start_to(settings: &LogSettings, out: impl Write + Send + 'static) {
-    let (tx, rx) = mpsc::sync_channel(settings.queue.max(1));
+    let capacity = settings.queue.max(1);
+    let (tx, rx) = mpsc::sync_channel(capacity);
+    let held = Arc::new(AtomicUsize::new(0));
+    let queue = Queue {
+        tx,
+        held: Arc::clone(&held),
+        capacity,
+    };
     let limiter = std::sync::Mutex::new(RateLimiter::new(settings.rate));
     let logger = Builder::new()
         .filter_level(settings.level)
         .parse_default_env()
-        .target(Target::Pipe(Box::new(Queue { tx })))
+        .target(Target::Pipe(Box::new(queue)))
         .format(move |out, record| {
             let mut limiter = limiter
                 .lock()
@@ -101,22 +110,27 @@
         })
         .try_init();
     if logger.is_ok() {
-        std::thread::spawn(move || write_all(&rx, out));
+        std::thread::spawn(move || write_all(&rx, &held, out));
     }
 }
 
 /// The writer that the logger writes to: it sends whole lines to the queue without blocking.
 struct Queue {
     tx: SyncSender<Vec<u8>>,
+    /// Lines that are not written yet: those in the channel, and those that the writer has taken
+    /// from it.
+    held: Arc<AtomicUsize>,
+    /// Bound on `held`.
+    capacity: usize,
 }
 
 impl Write for Queue {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        match self.tx.try_send(line.to_vec()) {
-            Ok(()) => {}
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-                DROPPED.fetch_add(1, Ordering::Relaxed);
-            }
+        // Counted before it is sent, as the writer may take it at once.
+        let has_room = self.held.fetch_add(1, Ordering::AcqRel) < self.capacity;
+        if !has_room || self.tx.try_send(line.to_vec()).is_err() {
+            self.held.fetch_sub(1, Ordering::AcqRel);
+            DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
     }
@@ -126,14 +140,16 @@
     }
 }
 
-/// Writes the queued lines in chunks. Adds a line with the counts if more lines were dropped or
+/// Writes the queued lines in chunks and takes them out of `held`. Adds a line with the counts if more lines were dropped or
 /// skipped since the last chunk.
-fn write_all(rx: &Receiver<Vec<u8>>, mut out: impl Write) {
+fn write_all(rx: &Receiver<Vec<u8>>, held: &AtomicUsize, mut out: impl Write) {
     let mut reported = 0;
     while let Ok(first) = rx.recv() {
         let mut chunk = first;
+        let mut lines = 1;
         while let Ok(next) = rx.try_recv() {
             chunk.extend_from_slice(&next);
+            lines += 1;
             if chunk.len() > MAX_WRITE_BYTES {
                 break;
             }
@@ -149,8 +165,9 @@
         }
         if out.write_all(&chunk).and_then(|()| out.flush()).is_err() {
             // The output is gone, so the failure can only be counted.
-            DROPPED.fetch_add(1, Ordering::Relaxed);
+            DROPPED.fetch_add(lines as u64, Ordering::Relaxed);
         }
+        held.fetch_sub(lines, Ordering::AcqRel);
     }
 }
 
