Follow leaders outside the list only where nodes find each other

Cause: since a client adds any leader that a replica names. A router whose settings name relays learned the replicas' own addresses and went past them, so the cut was none for it and the top-up was spent within it. Change: Referral says which leaders a client follows; only nodes that find each other follow any. Evidence: leader_outside_the_list_is_not_followed; with Referral::Any, the rule before, all three of its clients find the leader (leader_that_others_name_is_found asserts that).

--- a/crates/fleet/src/edges/rpc/client.rs
+++ b/crates/fleet/src/edges/rpc/client.rs
@@ -72,12 +72,25 @@
     operator: Operator,
 }
 
+/// Which leaders a client follows that another replica names.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Referral {
+    /// Only those in its list. The addresses that the replicas use among themselves may not be the
+    /// ones that this client has to use.
+    #[default]
+    Listed,
+    /// Any. For nodes that find each other: the list may lack a replica that has just joined, and
+    /// a control host's own list lacks the host itself.
+    Any,
+}
+
 /// Known replicas, and which of them led last.
 #[derive(Debug, Default)]
 struct Replicas {
     all: Vec<Arc<Replica>>,
     /// Index in `all` of the replica that led last.
     leader: usize,
+    referral: Referral,
 }
 
 /// A control replica and the connection to it.
@@ -139,7 +152,8 @@
 }
 
 impl ControlClient {
-    /// Creates a client of the replicas at these addresses. It connects on first use.
+    /// Creates a client of the replicas at these addresses. It connects on first use, and follows
+    /// leaders as [`Referral::Listed`] says.
     pub fn new(replicas: impl Into<Arc<[SocketAddr]>>, operator: Operator) -> Self {
         let replicas: Arc<[SocketAddr]> = replicas.into();
         let client = Self {
@@ -150,6 +164,11 @@
         client
     }
 
+    /// Makes this client and its clones follow leaders as `referral` says.
+    pub fn set_referral(&self, referral: Referral) {
+        self.lock().referral = referral;
+    }
+
     /// Replaces the list of replicas. Connections to replicas that stay in it are kept.
     pub fn set_replicas(&self, addresses: &[SocketAddr]) {
         let mut known = self.lock();
@@ -399,16 +418,20 @@
         }
     }
 
-    /// Stores which replica leads and returns its index. An unknown address is added to the list: a
-    /// control host lists only the other replicas, and they may name that host itself.
+    /// Stores which replica leads and returns its index, or `None` if that replica is not in the
+    /// list and not to be added to it.
     pub(super) fn set_leader(&self, leader: Option<SocketAddr>) -> Option<usize> {
         let leader = leader?;
         let mut known = self.lock();
         let found = known.all.iter().position(|one| one.address == leader);
-        let index = found.unwrap_or(known.all.len());
-        if found.is_none() {
-            known.all.push(Arc::new(Replica::new(leader)));
-        }
+        let index = match (found, known.referral) {
+            (Some(index), _) => index,
+            (None, Referral::Listed) => return None,
+            (None, Referral::Any) => {
+                known.all.push(Arc::new(Replica::new(leader)));
+                known.all.len() - 1
+            }
+        };
         known.leader = index;
         Some(index)
     }
--- a/crates/fleet/src/edges/rpc/mod.rs
+++ b/crates/fleet/src/edges/rpc/mod.rs
@@ -12,6 +12,7 @@
 pub use client::ControlClient;
 pub use client::ControlError;
 pub(crate) use client::MAX_MESSAGE_BYTES;
+pub use client::Referral;
 pub use control::ControlServer;
 pub use control::HostReports;
 pub use router::RouterClient;
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -46,6 +46,7 @@
 use crate::edges::http::server;
 use crate::edges::http::server::Handler;
 use crate::edges::rpc::ControlClient;
+use crate::edges::rpc::Referral;
 use crate::edges::rpc::node::NoLender;
 use crate::edges::rpc::node::NodeService;
 use crate::gateway::charge::AllotmentHandle;
@@ -394,6 +395,7 @@
         );
         let operator = Operator::from(own.name.as_str());
         let control = ControlClient::new(own.control.clone(), operator);
+        control.set_referral(Referral::Any);
         let mut fixed = own.control.clone();
         if role == Role::Control && !fixed.contains(&own.rpc) {
             fixed.push(own.rpc);
@@ -518,6 +520,7 @@
     tokio::spawn(track_peers(nodes.clone(), replica.clone()));
     tokio::spawn(log_balances(replica.clone(), timer));
     let client = control.client().clone();
+    client.set_referral(Referral::Any);
     tokio::spawn(track_control(nodes.clone(), client, own.control.clone()));
     let plan = replica.plan();
     tokio::spawn(announce_plan(plan.clone(), nodes.clone()));
--- a/crates/fleet/tests/control.rs
+++ b/crates/fleet/tests/control.rs
@@ -9,6 +9,7 @@
 use chestnutnotch::control;
 use chestnutnotch::edges::rpc::ControlClient;
 use chestnutnotch::edges::rpc::ControlError;
+use chestnutnotch::edges::rpc::Referral;
 use chestnutnotch::settings::Settings;
 use chestnutnotch::timer::Timer;
 use chestnutnotch_core::command::Bill;
@@ -412,6 +413,7 @@
     // Each client knows one replica. Two of the clients know only a follower.
     for address in group.addresses.clone() {
         let client = ControlClient::new(vec![address], Operator::from("desk"));
+        client.set_referral(Referral::Any);
         let joined = client
             .submit(
                 Command::Join(Join {
@@ -428,3 +430,19 @@
         );
     }
 });
+
+case!(leader_outside_the_list_is_not_followed, |group| async {
+    let client = group.client();
+    client
+        .submit(publish("a", 0, 1_000), TIMEOUT)
+        .await
+        .unwrap();
+    // Each client knows one replica, as a router does that reaches only one of the relays between
+    // it and the control replicas. Only the client of the leader may find a quorum.
+    let mut served = 0;
+    for address in group.addresses.clone() {
+        let client = ControlClient::new(vec![address], Operator::from("desk"));
+        served += usize::from(client.submit(top_up("a", 1), SHORT_TIMEOUT).await.is_ok());
+    }
+    assert!(served <= 1, "{served} of 3 clients found the leader");
+});
