Send documents with routes compressed, and fetch longer after fetches that expired

Cause: each copy needs most of a second of a link, several nodes fetch from the same one, and a fetch that expires starts over with the same timeout. Change: nodes that say so get the document as a DEFLATE stream, made once a version; two fetches that expired in a row double the timeout, up to 3.2 s. Old nodes get and send documents as before.

--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -6,11 +6,13 @@
 
 mod check;
 mod index;
+mod patience;
 mod plan;
 mod published;
 
 pub use check::PlanError;
 pub use index::RouteIndex;
+pub use patience::Patience;
 pub use plan::Limits;
 pub use plan::Plan;
 pub use plan::RequestKind;
--- /dev/null
+++ b/crates/core/tests/route_patience.rs
@@ -0,0 +1,52 @@
+//! Timeouts of fetching routes, replayed on links of different speed.
+
+use chestnutnotch_core::route::Patience;
+use chestnutnotch_core::unit::Millis;
+
+/// Fetches after which a node has to have the document.
+const MAX_FETCHES: usize = 5;
+
+/// Fetches a document that needs `transfer` in all until one fetch is long enough. Returns the
+/// number of fetches and their time in all, or `None` if [`MAX_FETCHES`] are not enough.
+fn replay(transfer: Millis) -> Option<(usize, Millis)> {
+    let mut patience = Patience::new(Millis(800), Millis(3_200));
+    let mut spent = Millis::ZERO;
+    for fetch in 1..=MAX_FETCHES {
+        let timeout = patience.timeout();
+        if transfer <= timeout {
+            return Some((fetch, spent + transfer));
+        }
+        spent += timeout;
+        patience.record_expired();
+    }
+    None
+}
+
+macro_rules! cases {
+    ($($name:ident: $transfer:expr => $expected:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(replay(Millis($transfer)), $expected);
+            }
+        )*
+    };
+}
+
+cases! {
+    fast_link_needs_one_fetch: 500 => Some((1, Millis(500)));
+    link_that_needs_a_second: 1_000 => Some((3, Millis(2_600)));
+    link_shared_by_many: 2_000 => Some((5, Millis(6_800)));
+    link_that_is_too_slow: 5_000 => None;
+}
+
+#[test]
+fn success_resets_the_timeout() {
+    let mut patience = Patience::new(Millis(800), Millis(3_200));
+    for _ in 0..100 {
+        patience.record_expired();
+    }
+    assert_eq!(patience.timeout(), Millis(3_200));
+    patience.record_success();
+    assert_eq!(patience.timeout(), Millis(800));
+}
--- a/crates/fleet/src/controllers/plan.rs
+++ b/crates/fleet/src/controllers/plan.rs
@@ -10,6 +10,7 @@
 
 use chestnutnotch_core::roster::NodeFact;
 use chestnutnotch_core::roster::Role;
+use chestnutnotch_core::route::Patience;
 use chestnutnotch_core::route::Plan;
 use chestnutnotch_core::route::PublishedPlan;
 use chestnutnotch_core::route::RouteIndex;
@@ -21,6 +22,7 @@
 use crate::dialect::Dialect;
 use crate::edges::rpc::ControlClient;
 use crate::edges::rpc::node;
+use crate::edges::rpc::node::NodeError;
 use crate::keys;
 use crate::keys::KeyIndex;
 use crate::metrics::Metrics;
@@ -29,8 +31,10 @@
 /// Timeout of asking the control replicas for confirmed routes.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Timeout of fetching another node's routes; allows for a large set over a slow link.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Bounds of the timeout of fetching another node's routes. The first allows for a large set over a
+/// slow link, the second for one that many nodes fetch at the same time.
+const MIN_FETCH_TIMEOUT: Millis = Millis(800);
+const MAX_FETCH_TIMEOUT: Millis = Millis(3_200);
 
 /// Time between two checks for newer routes, if no change of the membership comes earlier.
 const POLL_PERIOD: Duration = Duration::from_millis(200);
@@ -110,6 +114,7 @@
             tx,
             publish,
             failed: Vec::new(),
+            patience: Patience::new(MIN_FETCH_TIMEOUT, MAX_FETCH_TIMEOUT),
         };
         tokio::spawn(follower.run());
         Self { current, published }
@@ -141,6 +146,8 @@
     publish: watch::Sender<PublishedPlan>,
     /// Nodes that a fetch from has failed since the last one that succeeded.
     failed: Vec<SocketAddr>,
+    /// Timeout of the next fetch.
+    patience: Patience,
 }
 
 impl Follower {
@@ -181,12 +188,14 @@
     async fn fetch(&mut self, peer: &NodeFact) -> Option<PublishedPlan> {
         let own = self.publish.borrow().version;
         let start = self.parts.timer.now();
-        let fetched = node::fetch_plan(peer.rpc, own, FETCH_TIMEOUT).await;
+        let timeout = Duration::from_millis(self.patience.timeout().0);
+        let fetched = node::fetch_plan(peer.rpc, own, timeout).await;
         let ms = self.parts.timer.now().saturating_sub(start).0;
         match fetched {
             Ok(held) if held.version > own => {
                 self.parts.metrics.plan_fetches.add("fetched");
                 self.failed.clear();
+                self.patience.record_success();
                 return Some(held);
             }
             Ok(held) => {
@@ -195,6 +204,9 @@
                 log::warn!(version = peer.plan, held = held.version, holder:% = peer.host; "node has no newer routes");
             }
             Err(error) => {
+                if matches!(error, NodeError::TimedOut(_)) {
+                    self.patience.record_expired();
+                }
                 self.parts.metrics.plan_fetches.add(error.label());
                 log::warn!(error:% = error, version = peer.plan, holder:% = peer.host, ms; "fetching newer routes failed");
             }
--- a/crates/fleet/src/edges/rpc/client.rs
+++ b/crates/fleet/src/edges/rpc/client.rs
@@ -28,6 +28,8 @@
 
 use super::LEADER_KEY;
 use super::backoff::Backoff;
+use super::document;
+use super::document::DocumentError;
 
 /// Time after which a replica that does not answer is skipped.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -61,6 +63,14 @@
         /// Decoding error.
         source: WireError,
     },
+    /// The document in a reply could not be read.
+    #[error("unreadable reply from {from}: {source}")]
+    Unreadable {
+        /// Replica that replied.
+        from: SocketAddr,
+        /// What is wrong with it.
+        source: DocumentError,
+    },
 }
 
 /// Client of the control replicas. Cheap to clone; clones share the connections and the known
@@ -383,15 +393,19 @@
     ///
     /// # Errors
     ///
-    /// [`ControlError::NoQuorum`] if no leader answered in time.
+    /// [`ControlError::NoQuorum`] if no leader answered in time, [`ControlError::Unreadable`] if the
+    /// document in the answer is damaged.
     pub async fn plan(&self, held: u64, timeout: Duration) -> Result<PublishedPlan, ControlError> {
         self.call_leader(timeout, |mut rpc| async move {
-            read_leader_reply(rpc.plan(proto::PlanRequest { version: held }).await)
+            let request = proto::PlanRequest {
+                version: held,
+                deflate: true,
+            };
+            read_leader_reply(rpc.plan(request).await)
         })
         .await
-        .map(|(_, reply)| PublishedPlan {
-            version: reply.version,
-            source: reply.source.into(),
+        .and_then(|(from, reply)| {
+            document::read_reply(reply).map_err(|source| ControlError::Unreadable { from, source })
         })
     }
 
--- a/crates/fleet/src/edges/rpc/control.rs
+++ b/crates/fleet/src/edges/rpc/control.rs
@@ -29,7 +29,7 @@
 use tonic::Status;
 
 use super::LEADER_KEY;
-use super::node;
+use super::document::DocumentCache;
 use super::views;
 use crate::controllers::replica::ReplicaError;
 use crate::controllers::replica::ReplicaHandle;
@@ -87,6 +87,7 @@
     replica: ReplicaHandle,
     spool: ActorRef<SpoolMessage>,
     reports: HostReports,
+    documents: DocumentCache,
     timer: Timer,
 }
 
@@ -97,6 +98,7 @@
             replica,
             spool,
             reports: HostReports::default(),
+            documents: DocumentCache::default(),
             timer,
         }
     }
@@ -201,10 +203,11 @@
         &self,
         request: Request<proto::PlanRequest>,
     ) -> Result<Response<proto::PlanReply>, Status> {
-        let held = request.into_inner().version;
         let view = self.replica.read(|machine| machine.plan().clone());
         let plan = view.await.map_err(to_status)?;
-        Ok(Response::new(node::plan_reply(&plan, held)))
+        Ok(Response::new(
+            self.documents.reply(&plan, request.get_ref()),
+        ))
     }
 
     async fn budgets(
--- a/crates/fleet/src/edges/rpc/mod.rs
+++ b/crates/fleet/src/edges/rpc/mod.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod client;
 mod control;
+pub mod document;
 pub mod node;
 pub mod peer;
 pub mod router;
--- a/crates/fleet/src/edges/rpc/node.rs
+++ b/crates/fleet/src/edges/rpc/node.rs
@@ -22,6 +22,9 @@
 use tonic::transport::Endpoint;
 
 use super::MAX_MESSAGE_BYTES;
+use super::document;
+use super::document::DocumentCache;
+use super::document::DocumentError;
 
 /// Bound on the time to open a connection to another node: many round trips within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -51,6 +54,14 @@
         /// Status that it answered with.
         source: Box<Status>,
     },
+    /// The answer can't be read.
+    #[error("{address}: {source}")]
+    Unreadable {
+        /// Address of the node.
+        address: SocketAddr,
+        /// What is wrong with it.
+        source: DocumentError,
+    },
 }
 
 impl NodeError {
@@ -61,6 +72,7 @@
             Self::ConnectTimedOut(_) => "connect_timed_out",
             Self::Unreachable { .. } => "unreachable",
             Self::Refused { .. } => "refused",
+            Self::Unreadable { .. } => "unreadable",
         }
     }
 }
@@ -86,13 +98,18 @@
 pub struct NodeService {
     /// Latest pass-through routes of this node.
     plan: watch::Receiver<PublishedPlan>,
+    documents: DocumentCache,
     lender: Arc<dyn Lender>,
 }
 
 impl NodeService {
     /// Creates a service that serves the latest routes of a channel and lends tokens from a lender.
     pub fn new(plan: watch::Receiver<PublishedPlan>, lender: Arc<dyn Lender>) -> Self {
-        Self { plan, lender }
+        Self {
+            plan,
+            documents: DocumentCache::default(),
+            lender,
+        }
     }
 
     /// Returns the service for a server, with its limit on message sizes.
@@ -107,8 +124,9 @@
         &self,
         request: Request<proto::PlanRequest>,
     ) -> Result<Response<proto::PlanReply>, Status> {
-        let version = request.into_inner().version;
-        Ok(Response::new(plan_reply(&self.plan.borrow(), version)))
+        let plan = self.plan.borrow().clone();
+        let reply = self.documents.reply(&plan, request.get_ref());
+        Ok(Response::new(reply))
     }
 
     async fn lend(
@@ -122,19 +140,6 @@
     }
 }
 
-/// Builds a reply with the routes. The document is left out unless its version is higher than
-/// `known`.
-pub(super) fn plan_reply(plan: &PublishedPlan, known: u64) -> proto::PlanReply {
-    let source = match plan.version > known {
-        true => plan.source.to_vec(),
-        false => Vec::new(),
-    };
-    proto::PlanReply {
-        version: plan.version,
-        source,
-    }
-}
-
 /// Fetches the pass-through routes of a node. The document is empty unless its version is higher
 /// than `known`. Each call opens a connection of its own: calls are rare, and an old connection may
 /// have broken without notice.
@@ -147,11 +152,14 @@
     known: u64,
     timeout: Duration,
 ) -> Result<PublishedPlan, NodeError> {
-    let request = proto::PlanRequest { version: known };
+    let request = proto::PlanRequest {
+        version: known,
+        deflate: true,
+    };
     let reply = call(to, timeout, async |mut node| node.held(request).await).await?;
-    Ok(PublishedPlan {
-        version: reply.version,
-        source: reply.source.into(),
+    document::read_reply(reply).map_err(|source| NodeError::Unreadable {
+        address: to,
+        source,
     })
 }
 
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -7,15 +7,21 @@
     /// Version that the caller has. The reply has no document unless its version is higher.
     #[prost(uint64, tag = "1")]
     pub version: u64,
+    /// Whether the caller can read a compressed document.
+    #[prost(bool, tag = "2")]
+    pub deflate: bool,
 }
 /// Pass-through routes.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PlanReply {
     #[prost(uint64, tag = "1")]
     pub version: u64,
-    /// Document as it was published; empty if it is not newer.
+    /// Document as it was published, or that document compressed; empty if it is not newer.
     #[prost(bytes = "vec", tag = "2")]
     pub source: ::prost::alloc::vec::Vec<u8>,
+    /// Whether the document is compressed: a raw DEFLATE stream.
+    #[prost(bool, tag = "3")]
+    pub deflated: bool,
 }
 /// Request to lend tokens of a budget.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
