--- a/crates/core/src/route/patience.rs
+++ b/crates/core/src/route/fetch_timeout.rs
@@ -9,7 +9,7 @@
 /// slow for it at the moment would never have the document. The first fetches stay short, as their
 /// nodes may have stopped answering.
 #[derive(Clone, Copy, Debug)]
-pub struct Patience {
+pub struct FetchTimeout {
     /// Timeout of the first fetches.
     least: Millis,
     /// Bound on every timeout.
@@ -21,8 +21,8 @@
 /// Fetches in a row that get the same timeout before it doubles.
 const FETCHES_PER_STEP: u32 = 2;
 
-impl Patience {
-    /// Creates one whose timeouts lie between `least` and `most`.
+impl FetchTimeout {
+    /// Creates a timeout that lies between `least` and `most`.
     pub fn new(least: Millis, most: Millis) -> Self {
         Self {
             least,
@@ -32,7 +32,7 @@
     }
 
     /// Returns the timeout of the next fetch.
-    pub fn timeout(&self) -> Millis {
+    pub fn current(&self) -> Millis {
         let steps = self.expired / FETCHES_PER_STEP;
         let factor = 1_u64.checked_shl(steps).unwrap_or(u64::MAX);
         Millis(self.least.0.saturating_mul(factor)).min(self.most)
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -5,14 +5,14 @@
 //! The control replicas store it as a [`PublishedPlan`], which they do not decode.
 
 mod check;
+mod fetch_timeout;
 mod index;
-mod patience;
 mod plan;
 mod published;
 
 pub use check::PlanError;
+pub use fetch_timeout::FetchTimeout;
 pub use index::RouteIndex;
-pub use patience::Patience;
 pub use plan::Limits;
 pub use plan::Plan;
 pub use plan::RequestKind;
--- a/crates/core/tests/route_patience.rs
+++ b/crates/core/tests/route_fetch_timeout.rs
@@ -1,6 +1,6 @@
 //! Timeouts of fetching routes, replayed on links of different speed.
 
-use chestnutnotch_core::route::Patience;
+use chestnutnotch_core::route::FetchTimeout;
 use chestnutnotch_core::unit::Millis;
 
 /// Fetches after which a node has to have the document.
@@ -9,15 +9,15 @@
 /// Fetches a document that needs `transfer` in all until one fetch is long enough. Returns the
 /// number of fetches and their time in all, or `None` if [`MAX_FETCHES`] are not enough.
 fn replay(transfer: Millis) -> Option<(usize, Millis)> {
-    let mut patience = Patience::new(Millis(800), Millis(3_200));
+    let mut timeout = FetchTimeout::new(Millis(800), Millis(3_200));
     let mut spent = Millis::ZERO;
     for fetch in 1..=MAX_FETCHES {
-        let timeout = patience.timeout();
-        if transfer <= timeout {
+        let current = timeout.current();
+        if transfer <= current {
             return Some((fetch, spent + transfer));
         }
-        spent += timeout;
-        patience.record_expired();
+        spent += current;
+        timeout.record_expired();
     }
     None
 }
@@ -42,11 +42,11 @@
 
 #[test]
 fn success_resets_the_timeout() {
-    let mut patience = Patience::new(Millis(800), Millis(3_200));
+    let mut timeout = FetchTimeout::new(Millis(800), Millis(3_200));
     for _ in 0..100 {
-        patience.record_expired();
+        timeout.record_expired();
     }
-    assert_eq!(patience.timeout(), Millis(3_200));
-    patience.record_success();
-    assert_eq!(patience.timeout(), Millis(800));
+    assert_eq!(timeout.current(), Millis(3_200));
+    timeout.record_success();
+    assert_eq!(timeout.current(), Millis(800));
 }
--- a/crates/fleet/src/controllers/plan.rs
+++ b/crates/fleet/src/controllers/plan.rs
@@ -10,7 +10,7 @@
 
 use chestnutnotch_core::roster::NodeFact;
 use chestnutnotch_core::roster::Role;
-use chestnutnotch_core::route::Patience;
+use chestnutnotch_core::route::FetchTimeout;
 use chestnutnotch_core::route::Plan;
 use chestnutnotch_core::route::PublishedPlan;
 use chestnutnotch_core::route::RouteIndex;
@@ -31,9 +31,11 @@
 /// Timeout of asking the control replicas for confirmed routes.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Bounds of the timeout of fetching another node's routes. The first allows for a large set over a
-/// slow link, the second for one that many nodes fetch at the same time.
+/// First timeout of fetching another node's routes; allows for a large set over a slow link.
 const MIN_FETCH_TIMEOUT: Millis = Millis(800);
+
+/// Bound on the timeout of fetching another node's routes after other fetches expired; allows for a
+/// large set that several nodes fetch over the same link.
 const MAX_FETCH_TIMEOUT: Millis = Millis(3_200);
 
 /// Time between two checks for newer routes, if no change of the membership comes earlier.
@@ -114,7 +116,7 @@
             tx,
             publish,
             failed: Vec::new(),
-            patience: Patience::new(MIN_FETCH_TIMEOUT, MAX_FETCH_TIMEOUT),
+            timeout: FetchTimeout::new(MIN_FETCH_TIMEOUT, MAX_FETCH_TIMEOUT),
         };
         tokio::spawn(follower.run());
         Self { current, published }
@@ -147,7 +149,7 @@
     /// Nodes that a fetch from has failed since the last one that succeeded.
     failed: Vec<SocketAddr>,
     /// Timeout of the next fetch.
-    patience: Patience,
+    timeout: FetchTimeout,
 }
 
 impl Follower {
@@ -188,14 +190,14 @@
     async fn fetch(&mut self, peer: &NodeFact) -> Option<PublishedPlan> {
         let own = self.publish.borrow().version;
         let start = self.parts.timer.now();
-        let timeout = Duration::from_millis(self.patience.timeout().0);
+        let timeout = Duration::from_millis(self.timeout.current().0);
         let fetched = node::fetch_plan(peer.rpc, own, timeout).await;
         let ms = self.parts.timer.now().saturating_sub(start).0;
         match fetched {
             Ok(held) if held.version > own => {
                 self.parts.metrics.plan_fetches.add("fetched");
                 self.failed.clear();
-                self.patience.record_success();
+                self.timeout.record_success();
                 return Some(held);
             }
             Ok(held) => {
@@ -205,7 +207,7 @@
             }
             Err(error) => {
                 if matches!(error, NodeError::TimedOut(_)) {
-                    self.patience.record_expired();
+                    self.timeout.record_expired();
                 }
                 self.parts.metrics.plan_fetches.add(error.label());
                 log::warn!(error:% = error, version = peer.plan, holder:% = peer.host, ms; "fetching newer routes failed");
