--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -220,6 +220,24 @@
     }
 }
 
+/// The failure: for seconds after a cut, nodes on its small side sent most packets to nodes on the
+/// other one, so a change was not known on their own side in time.
+#[test]
+fn change_is_known_soon_on_the_small_side_of_a_cut() {
+    const SMALL_SIDE: usize = 6;
+    let mut cluster = Cluster::new(82);
+    (0..40).for_each(|_| cluster.tick());
+    cluster.partition = SMALL_SIDE;
+    (0..25).for_each(|_| cluster.tick());
+    cluster.rosters[0].update_own(|own| own.plan = 7);
+    // 16 ticks are 2.4 s. A leaving upstream gets no new work after 2.5 s.
+    (0..16).for_each(|_| cluster.tick());
+    for number in 1..SMALL_SIDE {
+        let holder = cluster.rosters[number].newest_plan_holder(Millis(cluster.now), None, &[]);
+        assert_eq!(holder.map(|fact| fact.plan), Some(7), "node {number}");
+    }
+}
+
 /// The failure: a starting router asked the same router for its first routes each time, so one
 /// silent router delayed it until that one had timed out.
 #[test]
