--- a/crates/fleet/src/edges/rpc/document.rs
+++ b/crates/fleet/src/edges/rpc/document.rs
@@ -1,8 +1,7 @@
 //! How documents with pass-through routes cross the network: compressed for callers that can read it.
 //!
 //! Such a document has hundreds of bytes for each route, most of them alike. A change with
-//! thousands of routes goes to all routers at once, over links that need most of a second for each
-//! copy of it as it was published.
+//! thousands of routes goes to all routers at once, and many of them share narrow links.
 
 use std::io;
 use std::io::Read;
