Read, log and count the rates that upstreams name

Callers saw nothing of the fault; an upstream that names a rate got more. No log line or metric showed which answers named one. The header of an answer is read, each change is logged with its version and source ("rate limit set", "rate limit removed"), and upstream_rates_total counts rates named, removed and invalid. Nothing acts on a rate yet.

--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -66,6 +66,10 @@
     /// A point in time or a duration, in milliseconds. Each module states which clock it uses.
     Millis
 }
+counter! {
+    /// A rate of requests, in thousandths of a request per second.
+    RequestRate
+}
 counter! {
     /// Number of an accepted configuration; strictly increasing, zero before the first.
     Revision
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -14,6 +14,7 @@
 mod pool;
 pub mod prefix;
 pub mod quarantine;
+pub mod rate;
 mod row;
 
 pub mod status;
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -13,6 +13,7 @@
 use crate::map::Map;
 use crate::unit::Incarnation;
 use crate::unit::Millis;
+use crate::unit::RequestRate;
 
 use super::announce::Announcement;
 use super::announce::Kind;
@@ -33,6 +34,9 @@
 use super::quarantine::Crash;
 use super::quarantine::Quarantine;
 use super::quarantine::RequestState;
+use super::rate::KnownRate;
+use super::rate::RateBook;
+use super::rate::RateNotice;
 use super::row::Row;
 use super::status::Pool;
 use super::status::Probe;
@@ -144,6 +148,8 @@
     quarantine: Quarantine,
     /// Prompt parts that crashed upstreams, or are suspected of it.
     parts: PartQuarantine,
+    /// Rates that upstreams name.
+    rates: RateBook,
     /// Assignment of upstreams to the routers of this data centre.
     assignment: Assignment,
     /// Number of routers that send requests to the same upstreams; 0 if not known.
@@ -160,6 +166,8 @@
     upstream: Upstream,
     incarnation: Incarnation,
     body: Fingerprint,
+    /// When the attempt began.
+    sent_at: Millis,
     /// Whether the request is suspected of an earlier crash.
     suspected: bool,
     /// Prompt tokens that the upstream has to process before the answer begins; 0 once it has
@@ -235,6 +243,7 @@
             last_attempt: 0,
             quarantine: Quarantine::default(),
             parts: PartQuarantine::new(config.evidence_ttl, seed),
+            rates: RateBook::default(),
             assignment: Assignment::default(),
             routers: 0,
             revision: 0,
@@ -322,6 +331,25 @@
         }
     }
 
+    /// Applies the rate that the answer to an attempt stated, none if it stated none. Returns the
+    /// change to tell the other routers, if there is one.
+    pub fn observe_rate(
+        &mut self,
+        now: Millis,
+        attempt: AttemptId,
+        rate: Option<RequestRate>,
+    ) -> Option<RateNotice> {
+        let active = self.active.get(&attempt)?;
+        let (upstream, incarnation) = (&active.upstream, active.incarnation);
+        self.rates
+            .observe_answer(now, upstream, incarnation, active.sent_at, rate)
+    }
+
+    /// Returns what is known of the rate that one start of an upstream names.
+    pub fn known_rate(&self, upstream: &Upstream, incarnation: Incarnation) -> Option<&KnownRate> {
+        self.rates.known(upstream, incarnation)
+    }
+
     /// Records that the head of a successful answer to an attempt has arrived.
     pub fn record_answer_head(&mut self, now: Millis, attempt: AttemptId) {
         if let Some(active) = self.active.get_mut(&attempt) {
@@ -452,6 +480,7 @@
             upstream: upstream.clone(),
             incarnation: row.announcement.incarnation,
             body: criteria.body,
+            sent_at: now,
             suspected,
             prefill,
             parts: criteria.parts.clone(),
@@ -708,6 +737,8 @@
             .retain(|_, row| now < row.heard_at + forget || row.in_flight > 0);
         self.quarantine.expire(now, self.config.evidence_ttl);
         self.parts.expire(now);
+        let rows = &self.rows;
+        self.rates.retain(|upstream| rows.contains_key(upstream));
     }
 
     /// Returns the state of each known upstream, for `status` and metrics.
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -15,6 +15,7 @@
 use chestnutnotch_core::id::PromptPart;
 use chestnutnotch_core::id::Upstream;
 use chestnutnotch_core::unit::Incarnation;
+use chestnutnotch_core::unit::RequestRate;
 use chestnutnotch_core::upstream::Announcement;
 use chestnutnotch_core::upstream::AttemptId;
 use chestnutnotch_core::upstream::AttemptOutcome;
@@ -32,6 +33,7 @@
 use chestnutnotch_core::upstream::Table;
 use chestnutnotch_core::upstream::TableConfig;
 use chestnutnotch_core::upstream::UpstreamStatus;
+use chestnutnotch_core::upstream::rate::RateNotice;
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
@@ -150,6 +152,31 @@
             .update_load(now, &pick.upstream, pick.incarnation, load);
     }
 
+    /// Applies the rate that the answer to an attempt stated, none if it stated none. Returns the
+    /// change to tell the other routers, if there is one.
+    pub fn observe_rate(&self, pick: &Pick, rate: Option<RequestRate>) -> Option<RateNotice> {
+        let now = self.timer.now();
+        let notice = self.table().observe_rate(now, pick.attempt, rate);
+        if let Some(notice) = &notice {
+            self.log_rate(notice, "answer");
+        }
+        notice
+    }
+
+    /// Logs and counts a change of the rate that an upstream names.
+    fn log_rate(&self, notice: &RateNotice, source: &'static str) {
+        let (action, label) = match notice.rate {
+            Some(_) => ("set", "named"),
+            None => ("removed", "removed"),
+        };
+        self.metrics.rates.add(label);
+        log::info!(
+            upstream:% = notice.upstream, start = notice.incarnation.0, version = notice.version,
+            rate = notice.rate.map_or(0, |rate| rate.0), source;
+            "rate limit {action}"
+        );
+    }
+
     /// Records that the head of a successful answer to an attempt has arrived.
     pub fn record_answer_head(&self, attempt: AttemptId) {
         let now = self.timer.now();
--- a/crates/fleet/src/dialect.rs
+++ b/crates/fleet/src/dialect.rs
@@ -14,6 +14,7 @@
 use chestnutnotch_core::route::Plan;
 use chestnutnotch_core::route::PlanError;
 use chestnutnotch_core::unit::Millis;
+use chestnutnotch_core::unit::RequestRate;
 use chestnutnotch_core::unit::Tokens;
 use chestnutnotch_core::upstream::Announcement;
 use chestnutnotch_core::upstream::Load;
@@ -151,6 +152,20 @@
     pub not_run: bool,
     /// Load of the upstream, if reported.
     pub load: Option<Load>,
+    /// Rate of requests that the upstream takes.
+    pub rate: NamedRate,
+}
+
+/// Rate of requests that an answer names: what the upstream takes from all routers together.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum NamedRate {
+    /// The answer names none.
+    #[default]
+    Absent,
+    /// The answer names one that is zero, negative or no number. It sets no limit.
+    Invalid,
+    /// The answer names this one.
+    Limit(RequestRate),
 }
 
 /// Operation that a call to a control host requests.
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -22,6 +22,7 @@
 use tokio::time::timeout_at;
 
 use crate::dialect::HopMetadata;
+use crate::dialect::NamedRate;
 use crate::dialect::ResponseMetadata;
 use crate::edges::http::AnswerBody;
 use crate::edges::http::AnswerFault;
@@ -235,6 +236,10 @@
         received: Bytes::new(),
     };
     if metadata.not_run {
+        // Another upstream at the address names its own rate.
+        if opened.head.status != StatusCode::MISDIRECTED_REQUEST {
+            record_rate(job, &opened.attempt.pick, &metadata);
+        }
         return Err(on_refused(job, opened));
     }
     if !is_genuine(job, &metadata, opened.head.status) {
@@ -242,6 +247,7 @@
         opened.attempt.end(AttemptOutcome::Broken);
         return Err(AttemptFailure::maybe_ran(Refusal::AnswerLost));
     }
+    record_rate(job, &opened.attempt.pick, &metadata);
     if opened.head.status.is_success() {
         let upstreams = &job.gateway.upstreams;
         upstreams.record_answer_head(opened.attempt.pick.attempt);
@@ -252,6 +258,21 @@
     }
 }
 
+/// Records the rate of requests that an answer names. A refusal that names none says nothing of it.
+fn record_rate(job: &Job, pick: &Pick, metadata: &ResponseMetadata) {
+    let rate = match metadata.rate {
+        NamedRate::Limit(rate) => Some(rate),
+        NamedRate::Absent if metadata.not_run => return,
+        NamedRate::Absent => None,
+        NamedRate::Invalid => {
+            job.gateway.metrics.rates.add("invalid");
+            log::warn!(target: "upstream", id = &*job.metadata.attempt_id, upstream:% = pick.upstream; "invalid rate limit ignored");
+            None
+        }
+    };
+    job.gateway.upstreams.observe_rate(pick, rate);
+}
+
 /// Chooses an upstream that was not tried yet and starts an attempt at it.
 fn choose(job: &mut Job) -> Result<AttemptGuard, AttemptFailure> {
     let gateway = &job.gateway;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -83,6 +83,8 @@
     pub plan_fetches: OutcomeCounter,
     /// Requests to other routers for tokens: lent, empty or failed.
     pub loans: OutcomeCounter,
+    /// Rates that upstreams named, and what became of requests for upstreams with one.
+    pub rates: OutcomeCounter,
     /// Pass-through requests by kind of route and outcome.
     pass_through: Family<PassThroughLabel, Counter>,
     /// Latency of answers to pass-through requests.
@@ -148,6 +150,7 @@
             faults: OutcomeCounter::default(),
             plan_fetches: OutcomeCounter::default(),
             loans: OutcomeCounter::default(),
+            rates: OutcomeCounter::default(),
             pass_through: Family::default(),
             latency: Family::new_with_constructor(latency),
             run_delay: Family::new_with_constructor(latency),
@@ -182,6 +185,7 @@
                 &self.plan_fetches,
             ),
             ("loans", "Requests for other routers' tokens", &self.loans),
+            ("upstream_rates", "Rates named by upstreams", &self.rates),
         ];
         for (name, help, results) in counters {
             self.registry.register(name, help, results.0.clone());
