Share the rate that an upstream names among all routers

One router owns the rate of each upstream (rendezvous hashing over the live routers). An upstream at its rate is no candidate; if there is no other, the caller gets 503 at once with the time of its turn as Retry-After, and requests of higher priority go first. Routers tell each other of rates by gossip; a higher version is in force.

--- a/crates/core/src/roster/fact.rs
+++ b/crates/core/src/roster/fact.rs
@@ -14,6 +14,9 @@
 use crate::upstream::Evidence;
 use crate::upstream::Finding;
 use crate::upstream::Proof;
+use crate::upstream::rate::RateNotice;
+use crate::upstream::rate::ShareGrant;
+use crate::upstream::rate::ShareRequest;
 
 /// One gossip message, sent as a datagram.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -45,6 +48,12 @@
     Evidence(Box<Evidence>),
     /// Proof that a part of a prompt is sound.
     Proof(Proof),
+    /// The rate that an upstream names.
+    Rate(RateNotice),
+    /// A request to the receiver for a share of a rate; not passed on.
+    ShareRequest(Box<ShareRequest>),
+    /// The answer to such a request; not passed on.
+    ShareGrant(Box<ShareGrant>),
 }
 
 impl From<Finding> for Fact {
@@ -69,6 +78,7 @@
                     && one.incarnation == other.incarnation
             }
             (Self::Proof(one), Self::Proof(other)) => one.part == other.part,
+            (Self::Rate(one), Self::Rate(other)) => one.upstream == other.upstream,
             _ => false,
         }
     }
@@ -77,7 +87,11 @@
     pub(super) fn is_extension(&self) -> bool {
         match self {
             Self::Node(_) | Self::Upstream(_) | Self::Crash { .. } => false,
-            Self::Evidence(_) | Self::Proof(_) => true,
+            Self::Evidence(_)
+            | Self::Proof(_)
+            | Self::Rate(_)
+            | Self::ShareRequest(_)
+            | Self::ShareGrant(_) => true,
         }
     }
 }
--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -13,8 +13,10 @@
 use super::fact::Role;
 use super::spread::GossipQueue;
 use super::spread::Urgency;
+use crate::id::Upstream;
 use crate::map::Map;
 use crate::unit::Millis;
+use crate::upstream::assignment;
 
 /// Settings of a [`Roster`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -276,6 +278,16 @@
         others + usize::from(self.own.role == role)
     }
 
+    /// Returns the gossip address of the router that owns the rate of an upstream, as far as this
+    /// router knows; it may be its own.
+    pub fn rate_owner(&self, now: Millis, upstream: &Upstream) -> SocketAddr {
+        let routers = self.live(now).filter(|fact| fact.role == Role::Router);
+        let routers: Vec<&NodeFact> = routers.chain([&self.own]).collect();
+        let owner = assignment::rate_owner(routers.iter().map(|fact| &fact.host), upstream);
+        let owner = routers.iter().find(|fact| Some(&fact.host) == owner);
+        owner.map_or(self.own.address, |fact| fact.address)
+    }
+
     /// Returns the gRPC addresses of the other known nodes with a role, live ones first.
     pub fn rpc_addresses(&self, now: Millis, role: Role) -> Vec<SocketAddr> {
         let of_role = self
--- a/crates/core/src/upstream/assignment.rs
+++ b/crates/core/src/upstream/assignment.rs
@@ -44,6 +44,15 @@
     }
 }
 
+/// Returns the one of these routers that owns the rate of an upstream.
+pub fn rate_owner<'a>(
+    hosts: impl IntoIterator<Item = &'a Host>,
+    upstream: &Upstream,
+) -> Option<&'a Host> {
+    let hosts = hosts.into_iter();
+    hosts.max_by_key(|host| (weight(host, upstream), *host))
+}
+
 /// Rendezvous weight of a router for an upstream. The hash is mixed further, so that names that
 /// differ only in their last character get unrelated weights.
 fn weight(host: &Host, upstream: &Upstream) -> u64 {
--- a/crates/core/src/upstream/candidate.rs
+++ b/crates/core/src/upstream/candidate.rs
@@ -6,11 +6,13 @@
 
 use super::choice::ChoiceContext;
 use super::config::TableConfig;
+use super::rate::RateBook;
 use super::row::Row;
 use super::status::Availability;
 use super::table::ChoiceError;
 
 /// Returns the upstreams that may take the request now, and whether they have to be probed before.
+/// With `rates`, those that are at their rate may not.
 ///
 /// # Errors
 ///
@@ -18,6 +20,7 @@
 pub(super) fn usable<'a>(
     rows: &'a Map<Upstream, Row>,
     context: &ChoiceContext<'_>,
+    rates: Option<&RateBook>,
 ) -> Result<(Vec<&'a Row>, bool), ChoiceError> {
     let mut candidates = Candidates::default();
     for row in rows
@@ -27,6 +30,9 @@
         candidates.add(row, context);
     }
     candidates.cap_ejected(context.config);
+    if let Some(rates) = rates {
+        candidates.remove_limited(rates, context);
+    }
     candidates.preferred()
 }
 
@@ -43,6 +49,8 @@
     known: usize,
     /// Whether at least one was left out because it is full.
     full: bool,
+    /// Whether at least one was left out because it is at its rate.
+    limited: bool,
 }
 
 impl<'a> Candidates<'a> {
@@ -83,6 +91,24 @@
         }
     }
 
+    /// Removes the upstreams that get as many requests as they take.
+    fn remove_limited(&mut self, rates: &RateBook, context: &ChoiceContext<'_>) {
+        let count = self.fresh.len() + self.stale.len();
+        let has_room = |row: &&Row| {
+            let upstream = &row.announcement.upstream;
+            let priority = context.criteria.priority;
+            rates.has_room(
+                context.now,
+                upstream,
+                row.announcement.incarnation,
+                priority,
+            )
+        };
+        self.fresh.retain(has_room);
+        self.stale.retain(has_room);
+        self.limited = self.fresh.len() + self.stale.len() < count;
+    }
+
     /// Returns the fresh upstreams, or the stale ones with `true` if no fresh one is left.
     fn preferred(self) -> Result<(Vec<&'a Row>, bool), ChoiceError> {
         if self.known == 0 {
@@ -94,6 +120,11 @@
         if !self.stale.is_empty() {
             return Ok((self.stale, true));
         }
+        if self.limited {
+            return Err(ChoiceError::RateLimited {
+                until: Millis::ZERO,
+            });
+        }
         match self.full {
             true => Err(ChoiceError::Full),
             false => Err(ChoiceError::NoneUsable),
--- a/crates/core/src/upstream/choice.rs
+++ b/crates/core/src/upstream/choice.rs
@@ -174,7 +174,7 @@
 const SUSPECTED_PAIR_COST: i64 = 1_000;
 
 /// Returns a random index below `count`.
-fn random_index(rng: &mut impl Rng, count: usize) -> usize {
+pub(super) fn random_index(rng: &mut impl Rng, count: usize) -> usize {
     let product = u128::from(rng.next_u64()) * count as u128;
     (product >> 64) as usize
 }
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -44,6 +44,7 @@
 pub use table::AttemptOutcome;
 pub use table::ChoiceError;
 pub use table::Criteria;
+pub use table::LimitedUpstream;
 pub use table::Pick;
 pub use table::Table;
 pub use version::Version;
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -22,6 +22,7 @@
 use super::assignment::Assignment;
 use super::candidate::usable;
 use super::choice::ChoiceContext;
+use super::choice::random_index;
 use super::config::TableConfig;
 use super::evidence::Evidence;
 use super::evidence::Finding;
@@ -37,6 +38,8 @@
 use super::rate::KnownRate;
 use super::rate::RateBook;
 use super::rate::RateNotice;
+use super::rate::ShareGrant;
+use super::rate::ShareRequest;
 use super::row::Row;
 use super::status::Pool;
 use super::status::Probe;
@@ -50,7 +53,7 @@
 pub struct Criteria {
     /// Kind of upstream that can serve the request.
     pub kind: Kind,
-    /// Priority of the request; higher goes first. Not used by the choice.
+    /// Priority of the request; higher goes first, at upstreams that are at their request rates.
     pub priority: u8,
     /// Hashes of the prompt's prefixes, shortest first; empty for services without prompts.
     pub prefixes: Vec<u64>,
@@ -95,6 +98,12 @@
     /// All usable upstreams are full.
     #[error("every usable upstream of this kind is full")]
     Full,
+    /// All usable upstreams get as many requests as they take from the routers together.
+    #[error("every usable upstream of this kind is at its request rate")]
+    RateLimited {
+        /// When the caller may retry, by the router's clock.
+        until: Millis,
+    },
     /// The request or a part of its prompt crashed upstreams and is not run again.
     #[error("the request or a part of its prompt is quarantined")]
     Quarantined {
@@ -127,6 +136,17 @@
     Neutral,
 }
 
+/// An upstream that is at its rate, though a request would go there.
+#[derive(Clone, Debug)]
+pub struct LimitedUpstream {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Its rate, as far as this router knows.
+    pub known: KnownRate,
+    /// Whether the owner of the rate may grant the request soon.
+    pub may_wait: bool,
+}
+
 /// Table of the upstreams that one router knows.
 #[derive(Clone, Debug)]
 pub struct Table {
@@ -419,7 +439,10 @@
             suspected,
             last_heard: self.last_heard,
         };
-        let (rows, needs_probe) = usable(&self.rows, &context)?;
+        let (rows, needs_probe) = match usable(&self.rows, &context, Some(&self.rates)) {
+            Err(ChoiceError::RateLimited { .. }) => return Err(self.turn_away(now, criteria)),
+            found => found?,
+        };
         let index = context
             .choose(&rows, &mut self.rng)
             .ok_or(ChoiceError::NoneUsable)?;
@@ -429,6 +452,109 @@
             .ok_or(ChoiceError::NoneUsable)
     }
 
+    /// Returns whether an upstream has named a rate.
+    pub fn has_rates(&self) -> bool {
+        !self.rates.is_empty()
+    }
+
+    /// Returns the upstream that would be chosen if it were not at its rate, and if so, whether it is
+    /// worth to wait for the owner of that rate. `routers` is the number of routers.
+    pub fn find_limited(
+        &mut self,
+        now: Millis,
+        criteria: &Criteria,
+        routers: usize,
+    ) -> Option<LimitedUpstream> {
+        self.rates.refill(now, routers);
+        let context = ChoiceContext {
+            now,
+            config: &self.config,
+            centre: &self.centre,
+            criteria,
+            routers: self.routers,
+            suspected: false,
+            last_heard: self.last_heard,
+        };
+        let (rows, _) = usable(&self.rows, &context, None).ok()?;
+        let row = rows[context.choose(&rows, &mut self.rng)?];
+        let upstream = row.announcement.upstream.clone();
+        let incarnation = row.announcement.incarnation;
+        let priority = criteria.priority;
+        if self.rates.has_room(now, &upstream, incarnation, priority) {
+            return None;
+        }
+        let known = *self.rates.known(&upstream, incarnation)?;
+        let may_wait = self.rates.want(now, &upstream, incarnation, priority);
+        Some(LimitedUpstream {
+            upstream,
+            known,
+            may_wait,
+        })
+    }
+
+    /// Turns away a request for which every usable upstream is at its rate.
+    fn turn_away(&mut self, now: Millis, criteria: &Criteria) -> ChoiceError {
+        let offering = self.rows.values().filter(|row| {
+            let upstream = &row.announcement.upstream;
+            row.offers(&criteria.kind) && !criteria.avoid.contains(upstream)
+        });
+        let starts: Vec<(Upstream, Incarnation)> = offering
+            .map(|row| {
+                (
+                    row.announcement.upstream.clone(),
+                    row.announcement.incarnation,
+                )
+            })
+            .filter(|(upstream, incarnation)| {
+                let priority = criteria.priority;
+                !self.rates.has_room(now, upstream, *incarnation, priority)
+            })
+            .collect();
+        let first = starts
+            .iter()
+            .min_by_key(|(upstream, start)| self.rates.next_return(now, upstream, *start));
+        let jitter = random_index(&mut self.rng, 1_000) as u64;
+        let until = first.map_or(now, |(upstream, start)| {
+            self.rates.turn_away(now, upstream, *start, jitter)
+        });
+        ChoiceError::RateLimited { until }
+    }
+
+    /// Applies what another router stated of a rate. Returns what to pass on, if it was news.
+    pub fn observe_rate_notice(&mut self, now: Millis, notice: &RateNotice) -> Option<RateNotice> {
+        self.rates.observe_notice(now, notice)
+    }
+
+    /// Returns all known rates, for routers that missed them.
+    pub fn rate_notices(&self) -> impl Iterator<Item = RateNotice> {
+        self.rates.notices()
+    }
+
+    /// See [`RateBook::ask`].
+    pub fn ask_share(&mut self, now: Millis, upstream: &Upstream) -> Option<ShareRequest> {
+        self.rates.ask(now, upstream)
+    }
+
+    /// See [`RateBook::is_pending`].
+    pub fn is_share_pending(&self, upstream: &Upstream) -> bool {
+        self.rates.is_pending(upstream)
+    }
+
+    /// See [`RateBook::answer`].
+    pub fn answer_share(
+        &mut self,
+        now: Millis,
+        router: SocketAddr,
+        request: &ShareRequest,
+    ) -> ShareGrant {
+        self.rates.answer(now, router, request)
+    }
+
+    /// See [`RateBook::observe_grant`].
+    pub fn observe_grant(&mut self, now: Millis, grant: &ShareGrant) {
+        self.rates.observe_grant(now, grant);
+    }
+
     /// Returns whether the request broke off once, so that it may run only once more.
     pub fn is_suspected(&self, body: &Fingerprint) -> bool {
         let state = self.quarantine.state(body, self.config.evidence_ttl);
@@ -475,6 +601,9 @@
         if needs_probe {
             row.start_probe(now);
         }
+        let incarnation = row.announcement.incarnation;
+        self.rates
+            .take(now, &upstream, incarnation, criteria.priority);
         self.last_attempt += 1;
         let active = ActiveAttempt {
             upstream: upstream.clone(),
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -115,7 +115,12 @@
                     self.rosters[at].merge(now, fact.clone());
                 }
                 Fact::Upstream(announcement) => self.announce(at, (**announcement).clone()),
-                Fact::Crash { .. } | Fact::Evidence(_) | Fact::Proof(_) => {}
+                Fact::Crash { .. }
+                | Fact::Evidence(_)
+                | Fact::Proof(_)
+                | Fact::Rate(_)
+                | Fact::ShareRequest(_)
+                | Fact::ShareGrant(_) => {}
             }
         }
         if packet.asks {
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use chestnutnotch_core::id::DataCentre;
+use chestnutnotch_core::id::Upstream;
 use chestnutnotch_core::map::Set;
 use chestnutnotch_core::roster::Fact;
 use chestnutnotch_core::roster::NodeFact;
@@ -18,10 +19,14 @@
 use chestnutnotch_core::roster::Roster;
 use chestnutnotch_core::roster::RosterSettings;
 use chestnutnotch_core::roster::Urgency;
+use chestnutnotch_core::unit::RequestRate;
 use chestnutnotch_core::upstream::Announcement;
 use chestnutnotch_core::upstream::Crash;
 use chestnutnotch_core::upstream::Phase;
+use chestnutnotch_core::upstream::Pick;
+use chestnutnotch_core::upstream::rate::ShareRequest;
 use tokio::sync::Notify;
+use tokio::time::timeout_at;
 
 use crate::controllers::upstreams::AnnouncementChange;
 use crate::controllers::upstreams::Upstreams;
@@ -32,6 +37,10 @@
 /// Time between two gossip rounds. An urgent fact reaches a hundred nodes in about five rounds.
 const ROUND_PERIOD: Duration = Duration::from_millis(150);
 
+/// Longest wait for a share of an upstream's rate: many round trips within a region, and a small
+/// part of the time that a caller has.
+const SHARE_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Pause after a socket error, so that a lasting failure does not cause a busy loop.
 const SOCKET_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -52,6 +61,8 @@
     wake: Notify,
     /// Notifies those who wait for a change of the membership.
     changed: Notify,
+    /// Notifies those who wait for a share of an upstream's rate.
+    granted: Notify,
     timer: Timer,
 }
 
@@ -73,6 +84,7 @@
                 gossip,
                 wake: Notify::new(),
                 changed: Notify::new(),
+                granted: Notify::new(),
                 timer,
             }),
         };
@@ -167,6 +179,73 @@
         self.inner.wake.notify_one();
     }
 
+    /// Applies the rate that the answer to an attempt stated, none if it stated none, and gossips it
+    /// if it is news.
+    pub fn observe_rate(&self, pick: &Pick, rate: Option<RequestRate>) {
+        if let Some(notice) = self.inner.upstreams.observe_rate(pick, rate) {
+            self.roster().enqueue(Fact::Rate(notice), Urgency::Urgent);
+            self.inner.wake.notify_one();
+        }
+    }
+
+    /// Asks the owner of an upstream's rate for a share, if it is due, and waits for the answer or
+    /// [`SHARE_TIMEOUT`]. Returns the owner's gossip address.
+    pub async fn acquire_share(&self, upstream: &Upstream) -> SocketAddr {
+        let upstreams = &self.inner.upstreams;
+        let owner = self.roster().rate_owner(self.now(), upstream);
+        let granted = self.inner.granted.notified();
+        tokio::pin!(granted);
+        // Registered before the request, so that its answer is not missed.
+        granted.as_mut().enable();
+        if let Some(request) = upstreams.ask_share(upstream) {
+            if owner == self.own_address() {
+                upstreams.observe_grant(&upstreams.answer_share(owner, &request));
+                self.inner.granted.notify_waiters();
+                return owner;
+            }
+            let fact = Fact::ShareRequest(Box::new(request));
+            self.send_direct(owner, fact).await;
+        }
+        let deadline = tokio::time::Instant::now() + SHARE_TIMEOUT;
+        while upstreams.is_share_pending(upstream) {
+            if timeout_at(deadline, granted.as_mut()).await.is_err() {
+                upstreams.metrics().rates.add("owner_silent");
+                log::info!(upstream:% = upstream, owner:% = owner; "no answer of the owner of a rate");
+                break;
+            }
+            granted.set(self.inner.granted.notified());
+            granted.as_mut().enable();
+        }
+        owner
+    }
+
+    /// Answers a router that asks for a share of a rate, if this node owns it. A router that gets no
+    /// answer keeps to a small part of the rate.
+    async fn answer_share(&self, from: SocketAddr, request: &ShareRequest) {
+        let owner = self
+            .roster()
+            .rate_owner(self.now(), &request.notice.upstream);
+        if owner != self.own_address() {
+            return;
+        }
+        let grant = self.inner.upstreams.answer_share(from, request);
+        self.send_direct(from, Fact::ShareGrant(Box::new(grant)))
+            .await;
+    }
+
+    /// Sends a fact to one node alone.
+    async fn send_direct(&self, to: SocketAddr, fact: Fact) {
+        let packet = Packet {
+            asks: false,
+            facts: vec![fact],
+        };
+        self.send(vec![(to, packet)]).await;
+    }
+
+    fn own_address(&self) -> SocketAddr {
+        self.roster().own().address
+    }
+
     /// Applies an announcement, and queues it for gossip if it is new.
     fn observe(&self, announcement: Announcement) -> AnnouncementChange {
         let change = self.inner.upstreams.observe(announcement.clone());
@@ -234,6 +313,16 @@
                         self.roster().enqueue(fact, Urgency::Urgent);
                     }
                 }
+                Fact::Rate(notice) => {
+                    if let Some(notice) = self.inner.upstreams.observe_rate_notice(&notice) {
+                        self.roster().enqueue(Fact::Rate(notice), Urgency::Urgent);
+                    }
+                }
+                Fact::ShareRequest(request) => self.answer_share(from, &request).await,
+                Fact::ShareGrant(grant) => {
+                    self.inner.upstreams.observe_grant(&grant);
+                    self.inner.granted.notify_waiters();
+                }
             }
         }
         if changed {
@@ -293,7 +382,11 @@
         let announcements =
             announcements.map(|announcement| Fact::Upstream(Box::new(announcement)));
         let findings = upstreams.known_findings().into_iter();
-        announcements.chain(findings.map(Fact::from)).collect()
+        let rates = upstreams.rate_notices().into_iter().map(Fact::Rate);
+        announcements
+            .chain(findings.map(Fact::from))
+            .chain(rates)
+            .collect()
     }
 
     /// Logs the nodes that joined or were lost since the last round.
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -3,6 +3,7 @@
 //! A briefly held mutex guards the table instead of an actor: each attempt takes it a few times for
 //! microseconds, and one mailbox would serialize all requests.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -24,6 +25,7 @@
 use chestnutnotch_core::upstream::Criteria;
 use chestnutnotch_core::upstream::Evidence;
 use chestnutnotch_core::upstream::Finding;
+use chestnutnotch_core::upstream::LimitedUpstream;
 use chestnutnotch_core::upstream::Load;
 use chestnutnotch_core::upstream::Phase;
 use chestnutnotch_core::upstream::Pick;
@@ -34,6 +36,8 @@
 use chestnutnotch_core::upstream::TableConfig;
 use chestnutnotch_core::upstream::UpstreamStatus;
 use chestnutnotch_core::upstream::rate::RateNotice;
+use chestnutnotch_core::upstream::rate::ShareGrant;
+use chestnutnotch_core::upstream::rate::ShareRequest;
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
@@ -163,6 +167,61 @@
         notice
     }
 
+    /// Applies what another router stated of a rate. Returns what to pass on, if it was news.
+    pub fn observe_rate_notice(&self, notice: &RateNotice) -> Option<RateNotice> {
+        let now = self.timer.now();
+        let notice = self.table().observe_rate_notice(now, notice);
+        if let Some(notice) = &notice {
+            self.log_rate(notice, "gossip");
+        }
+        notice
+    }
+
+    /// Returns all known rates, for routers that missed them.
+    pub fn rate_notices(&self) -> Vec<RateNotice> {
+        self.table().rate_notices().collect()
+    }
+
+    /// Returns whether an upstream has named a rate.
+    pub fn has_rates(&self) -> bool {
+        self.table().has_rates()
+    }
+
+    /// See [`Table::find_limited`].
+    pub fn find_limited(&self, criteria: &Criteria, routers: usize) -> Option<LimitedUpstream> {
+        let now = self.timer.now();
+        self.table().find_limited(now, criteria, routers)
+    }
+
+    /// Returns the request to send to the owner of an upstream's rate, if one is due.
+    pub fn ask_share(&self, upstream: &Upstream) -> Option<ShareRequest> {
+        let now = self.timer.now();
+        self.table().ask_share(now, upstream)
+    }
+
+    /// Returns whether a request to the owner of an upstream's rate is unanswered.
+    pub fn is_share_pending(&self, upstream: &Upstream) -> bool {
+        self.table().is_share_pending(upstream)
+    }
+
+    /// Answers a router's request as the owner of the rate.
+    pub fn answer_share(&self, router: SocketAddr, request: &ShareRequest) -> ShareGrant {
+        let now = self.timer.now();
+        let grant = self.table().answer_share(now, router, request);
+        let label = match grant.tokens {
+            0 => "owner_refused",
+            _ => "owner_granted",
+        };
+        self.metrics.rates.add(label);
+        grant
+    }
+
+    /// Applies the answer of the owner of a rate.
+    pub fn observe_grant(&self, grant: &ShareGrant) {
+        let now = self.timer.now();
+        self.table().observe_grant(now, grant);
+    }
+
     /// Logs and counts a change of the rate that an upstream names.
     fn log_rate(&self, notice: &RateNotice, source: &'static str) {
         let (action, label) = match notice.rate {
--- a/crates/fleet/src/filters/choose.rs
+++ b/crates/fleet/src/filters/choose.rs
@@ -26,7 +26,8 @@
     ///
     /// # Errors
     ///
-    /// [`Refusal::NoUpstream`], [`Refusal::Overloaded`] or [`Refusal::Quarantined`].
+    /// [`Refusal::NoUpstream`], [`Refusal::Overloaded`], [`Refusal::Shed`] or
+    /// [`Refusal::Quarantined`].
     pub async fn pick(&self, criteria: &Criteria, execution: Execution) -> Result<Pick, Refusal> {
         self.upstreams.await_evidence(criteria).await;
         for _ in 0..MAX_PICK_ROUNDS {
@@ -42,6 +43,10 @@
                 Err(ChoiceError::NoneKnown | ChoiceError::NoneUsable) => {
                     return Err(Refusal::NoUpstream);
                 }
+                Err(ChoiceError::RateLimited { until }) => {
+                    let retry_after = whole_seconds(until.saturating_sub(self.timer.now()));
+                    return Err(Refusal::Shed { retry_after });
+                }
                 Err(ChoiceError::Quarantined { until } | ChoiceError::Unconfirmed { until }) => {
                     let retry_after = whole_seconds(until.saturating_sub(self.timer.now()));
                     return Err(Refusal::Quarantined {
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -200,6 +200,7 @@
     if job.time_left() == Millis::ZERO {
         return Err(AttemptFailure::not_run(Refusal::DeadlinePassed));
     }
+    acquire_share(job).await;
     let attempt = choose(job)?;
     let mut connection = connect(job, &attempt).await?;
     let now = job.gateway.timer.now();
@@ -270,7 +271,38 @@
             None
         }
     };
-    job.gateway.upstreams.observe_rate(pick, rate);
+    job.gateway.nodes.observe_rate(pick, rate);
+}
+
+/// Obtains a share of the rate of the upstream that suits the request best, if that is at its rate
+/// and the owner may grant one soon.
+async fn acquire_share(job: &Job) {
+    let gateway = &job.gateway;
+    if !gateway.upstreams.has_rates() {
+        return;
+    }
+    let routers = gateway.router_count();
+    let found = gateway.upstreams.find_limited(&job.criteria(), routers);
+    let Some(limited) = found else {
+        return;
+    };
+    let owner = match limited.may_wait {
+        true => Some(gateway.nodes.acquire_share(&limited.upstream).await),
+        false => None,
+    };
+    let now = gateway.timer.now();
+    gateway.metrics.rates.add(match owner {
+        Some(_) => "asked",
+        None => "passed_over",
+    });
+    log::info!(
+        target: "request",
+        id = &*job.metadata.attempt_id, upstream:% = limited.upstream,
+        rate = limited.known.rate.map_or(0, |rate| rate.0), version = limited.known.version,
+        age = now.saturating_sub(limited.known.heard_at).0,
+        owner = owner.map_or(String::new(), |owner| owner.to_string());
+        "upstream is at its rate"
+    );
 }
 
 /// Chooses an upstream that was not tried yet and starts an attempt at it.
@@ -283,6 +315,11 @@
                 log::info!(target: "upstream", id = &*job.metadata.attempt_id, parts = job.log_parts().as_str(), wait = wait.0; "request quarantined");
                 Refusal::Quarantined { wait }
             }
+            ChoiceError::RateLimited { until } => {
+                gateway.metrics.rates.add("turned_away");
+                let wait = until.saturating_sub(gateway.timer.now());
+                Refusal::RateLimited { wait }
+            }
             ChoiceError::Full => Refusal::Full,
             ChoiceError::NoneKnown | ChoiceError::NoneUsable => Refusal::NoUpstream,
         })
--- a/crates/fleet/src/gateway/job.rs
+++ b/crates/fleet/src/gateway/job.rs
@@ -86,7 +86,7 @@
         let session_prefix = prefixes.len().checked_sub(2);
         Criteria {
             kind: Kind::Service(self.service.clone()),
-            priority: self.priority,
+            priority: u8::MAX - self.priority,
             prefixes,
             sizes,
             session_prefix,
--- a/crates/fleet/src/gateway/refusal.rs
+++ b/crates/fleet/src/gateway/refusal.rs
@@ -44,6 +44,12 @@
     /// Every upstream that was tried is full.
     #[error("the upstreams are full")]
     Full,
+    /// The upstreams get as many requests as they take from all routers together.
+    #[error("the upstreams are at their request rates")]
+    RateLimited {
+        /// Time until there may be room.
+        wait: Millis,
+    },
     /// Several upstreams broke off while running the request, or requests with the same part of a
     /// prompt.
     #[error("the request, or a part of its prompt, broke several upstreams and is not run")]
@@ -79,6 +85,7 @@
             | Self::AllotmentShort
             | Self::NoUpstream
             | Self::Full
+            | Self::RateLimited { .. }
             | Self::Quarantined { .. }
             | Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -97,6 +104,7 @@
             Self::AllotmentShort => "short",
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
+            Self::RateLimited { .. } => "rate_limited",
             Self::Quarantined { .. } => "quarantined",
             Self::AnswerLost => "lost",
             Self::AnswerLate => "late",
@@ -109,7 +117,7 @@
     fn retry_after(&self, target: Millis) -> Option<Millis> {
         match self {
             Self::Starting => Some(STARTING_RETRY_AFTER),
-            Self::Quarantined { wait } => Some(*wait),
+            Self::Quarantined { wait } | Self::RateLimited { wait } => Some(*wait),
             Self::AllotmentShort | Self::NoUpstream | Self::Full => {
                 let wait = Millis(target.0 / RETRY_AFTER_DIVISOR);
                 Some(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
