Grant only the part of a rate that belongs to the routers within reach

A router that is cut off takes itself for the owner once the others count as lost, and both owners granted the whole rate: 58 requests in 4 s at 8 a second, where the users' rule allows 53. The cases router_that_is_cut_off_keeps_to_its_part and halves_of_a_partition_share_the_rate failed with the whole rate granted and pass.

--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -17,6 +17,7 @@
 use crate::map::Map;
 use crate::unit::Millis;
 use crate::upstream::assignment;
+use crate::upstream::rate::Reach;
 
 /// Settings of a [`Roster`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -278,6 +279,17 @@
         others + usize::from(self.own.role == role)
     }
 
+    /// Returns how many of the routers this router can reach. Those that left by a planned stop do not
+    /// count as known.
+    pub fn reach(&self, now: Millis) -> Reach {
+        let members = self.nodes.values().map(|member| &member.fact);
+        let known = members.filter(|fact| fact.role == Role::Router && !fact.leaving);
+        Reach {
+            live: self.count_live(now, Role::Router),
+            known: known.count() + usize::from(self.own.role == Role::Router),
+        }
+    }
+
     /// Returns the gossip address of the router that owns the rate of an upstream, as far as this
     /// router knows; it may be its own.
     pub fn rate_owner(&self, now: Millis, upstream: &Upstream) -> SocketAddr {
--- a/crates/core/src/upstream/rate/book.rs
+++ b/crates/core/src/upstream/rate/book.rs
@@ -57,6 +57,24 @@
     pub wait: Millis,
 }
 
+/// How many of the routers the owner of a rate can reach.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Reach {
+    /// Routers that are live, the owner included.
+    pub live: usize,
+    /// These and the routers that were lost and may run on the other side of a partition, where
+    /// another owner grants their part.
+    pub known: usize,
+}
+
+impl Reach {
+    /// Returns the part of a rate that the owner may grant.
+    fn part(self, rate: RequestRate) -> RequestRate {
+        let known = self.known.max(self.live).max(1) as u64;
+        RequestRate(rate.0.saturating_mul(self.live as u64) / known)
+    }
+}
+
 /// Time after which a router asks again that asked about an upstream whose start has ended.
 const ENDED_WAIT: Millis = Millis(1_000);
 
@@ -143,7 +161,8 @@
         (entry.incarnation == incarnation).then_some(&entry.known)
     }
 
-    /// Advances the time of this router's shares. `routers` is the number of routers.
+    /// Advances the time of this router's shares. `routers` is the number of known routers,
+    /// live or not.
     pub fn refill(&mut self, now: Millis, routers: usize) {
         for entry in self.entries.values_mut() {
             if let Some((share, rate)) = entry.share(now) {
@@ -220,6 +239,7 @@
         now: Millis,
         router: SocketAddr,
         request: &ShareRequest,
+        reach: Reach,
     ) -> ShareGrant {
         self.observe_notice(now, &request.notice);
         let RateNotice {
@@ -233,7 +253,8 @@
                 None => (request.count, Millis::ZERO),
                 Some(rate) => {
                     let grantor = entry.grantor.get_or_insert_with(|| Grantor::new(now));
-                    let granted = grantor.grant(now, rate, router, request.count, request.priority);
+                    let part = reach.part(rate);
+                    let granted = grantor.grant(now, part, router, request.count, request.priority);
                     (granted.tokens, granted.wait)
                 }
             },
--- a/crates/core/src/upstream/rate/mod.rs
+++ b/crates/core/src/upstream/rate/mod.rs
@@ -11,6 +11,7 @@
 
 pub use book::RateBook;
 pub use book::RateNotice;
+pub use book::Reach;
 pub use book::ShareGrant;
 pub use book::ShareRequest;
 pub use known::KnownRate;
--- a/crates/core/src/upstream/rate/share.rs
+++ b/crates/core/src/upstream/rate/share.rs
@@ -81,8 +81,8 @@
         }
     }
 
-    /// Advances the time. `routers` is the number of routers, which share the rate evenly while the
-    /// owner is silent.
+    /// Advances the time. `routers` is the number of known routers, live or not, which share the rate
+    /// evenly while the owner is silent.
     pub fn refill(&mut self, now: Millis, rate: RequestRate, routers: usize) {
         if self.pending.is_some_and(|at| now >= at + ANSWER_TIMEOUT) {
             if !self.silent {
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -38,6 +38,7 @@
 use super::rate::KnownRate;
 use super::rate::RateBook;
 use super::rate::RateNotice;
+use super::rate::Reach;
 use super::rate::ShareGrant;
 use super::rate::ShareRequest;
 use super::row::Row;
@@ -458,7 +459,8 @@
     }
 
     /// Returns the upstream that would be chosen if it were not at its rate, and if so, whether it is
-    /// worth to wait for the owner of that rate. `routers` is the number of routers.
+    /// worth to wait for the owner of that rate. `routers` is the number of known
+    /// routers, live or not.
     pub fn find_limited(
         &mut self,
         now: Millis,
@@ -546,8 +548,9 @@
         now: Millis,
         router: SocketAddr,
         request: &ShareRequest,
+        reach: Reach,
     ) -> ShareGrant {
-        self.rates.answer(now, router, request)
+        self.rates.answer(now, router, request, reach)
     }
 
     /// See [`RateBook::observe_grant`].
--- a/crates/core/tests/rate_shares.rs
+++ b/crates/core/tests/rate_shares.rs
@@ -5,6 +5,7 @@
 
 use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::unit::Millis;
+use chestnutnotch_core::upstream::rate::Reach;
 
 use self::rate_world::Load;
 use self::rate_world::WINDOW;
@@ -92,8 +93,9 @@
         // Requests still arrive at the owner, which grants itself what it needs.
         world.run(FAILURE_TIMEOUT, Load::All, rate * 3);
         world.owners[..11].fill(10);
+        world.live.fill(11);
+        world.live[11] = 1;
         world.run(20_000, Load::All, rate * 3);
-        // A router that is cut off is excused by the users' rule, not by this check.
         assert_kept(&world, rate, 0);
         assert_used(&world, rate, 30_000, world.now);
     }
@@ -110,6 +112,36 @@
     }
 }
 
+#[test]
+fn router_that_is_cut_off_keeps_to_its_part() {
+    for rate in [1_200, 8_000, 300_000] {
+        let mut world = World::new(12, rate, 1);
+        world.run(20_000, Load::All, rate * 3);
+        world.cut[0] = true;
+        world.run(FAILURE_TIMEOUT, Load::All, rate * 3);
+        // It takes itself for the only live router.
+        world.owners[0] = 0;
+        world.live.fill(11);
+        world.live[0] = 1;
+        world.run(20_000, Load::All, rate * 36);
+        assert_kept(&world, rate, 0);
+        assert_used(&world, rate, 30_000, world.now);
+    }
+}
+
+#[test]
+fn halves_of_a_partition_share_the_rate() {
+    for rate in [1_200, 8_000, 300_000] {
+        let mut world = World::new(12, rate, 1);
+        world.run(20_000, Load::All, rate * 3);
+        world.owners[..6].fill(0);
+        world.live.fill(6);
+        world.run(20_000, Load::All, rate * 6);
+        assert_kept(&world, rate, 0);
+        assert_used(&world, rate, 25_000, world.now);
+    }
+}
+
 #[test]
 fn owner_that_changes_each_second_exceeds_nothing() {
     for rate in [1_200, 8_000, 300_000] {
@@ -200,7 +232,8 @@
                 world.books[router].want(at, &up, start, priority);
                 if let Some(request) = world.books[router].ask(at, &up) {
                     let address = ([127, 0, 0, 1], router as u16).into();
-                    let grant = world.books[2].answer(at, address, &request);
+                    let reach = Reach { live: 3, known: 3 };
+                    let grant = world.books[2].answer(at, address, &request, reach);
                     world.books[router].observe_grant(at, &grant);
                 }
             }
--- a/crates/core/tests/rate_world/mod.rs
+++ b/crates/core/tests/rate_world/mod.rs
@@ -10,6 +10,7 @@
 use chestnutnotch_core::unit::RequestRate;
 use chestnutnotch_core::upstream::rate::RateBook;
 use chestnutnotch_core::upstream::rate::RateNotice;
+use chestnutnotch_core::upstream::rate::Reach;
 use chestnutnotch_core::upstream::rate::ShareGrant;
 use chestnutnotch_core::upstream::rate::ShareRequest;
 use rand::RngExt;
@@ -44,6 +45,10 @@
     pub books: Vec<RateBook>,
     /// For each router the one that it takes for the owner of the rate.
     pub owners: Vec<usize>,
+    /// For each router the number that it takes for live, itself included.
+    pub live: Vec<usize>,
+    /// Requests to owners so far.
+    pub asked: u64,
     /// Routers that no message reaches or leaves.
     pub cut: Vec<bool>,
     /// Share of the messages that is lost.
@@ -69,6 +74,8 @@
             now: 0,
             books: vec![RateBook::default(); routers],
             owners: vec![routers - 1; routers],
+            live: vec![routers; routers],
+            asked: 0,
             cut: vec![false; routers],
             loss: 0.0,
             sent: Vec::new(),
@@ -126,6 +133,7 @@
             self.waiting[router] += 1;
             if let Some(request) = book.ask(at, &upstream()) {
                 let to = self.owners[router];
+                self.asked += 1;
                 if self.is_delivered(router, to) {
                     self.requests.push_back(Envelope {
                         due: self.now + LATENCY,
@@ -147,7 +155,11 @@
                 continue;
             }
             let address = SocketAddr::from((Ipv4Addr::LOCALHOST, router as u16));
-            let grant = self.books[envelope.to].answer(Millis(now), address, &request);
+            let reach = Reach {
+                live: self.live[envelope.to],
+                known: self.books.len(),
+            };
+            let grant = self.books[envelope.to].answer(Millis(now), address, &request, reach);
             if self.is_delivered(envelope.to, router) {
                 self.grants.push_back(Envelope {
                     due: now + LATENCY,
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -24,6 +24,7 @@
 use chestnutnotch_core::upstream::Crash;
 use chestnutnotch_core::upstream::Phase;
 use chestnutnotch_core::upstream::Pick;
+use chestnutnotch_core::upstream::rate::Reach;
 use chestnutnotch_core::upstream::rate::ShareRequest;
 use tokio::sync::Notify;
 use tokio::time::timeout_at;
@@ -108,6 +109,11 @@
         self.roster().count_live(self.now(), role)
     }
 
+    /// Returns how many of the routers this router can reach.
+    pub fn reach(&self) -> Reach {
+        self.roster().reach(self.now())
+    }
+
     /// Returns the RPC addresses of the nodes with a role, live ones first.
     pub fn rpc_addresses(&self, role: Role) -> Vec<SocketAddr> {
         self.roster().rpc_addresses(self.now(), role)
@@ -199,7 +205,7 @@
         granted.as_mut().enable();
         if let Some(request) = upstreams.ask_share(upstream) {
             if owner == self.own_address() {
-                upstreams.observe_grant(&upstreams.answer_share(owner, &request));
+                upstreams.observe_grant(&upstreams.answer_share(owner, &request, self.reach()));
                 self.inner.granted.notify_waiters();
                 return owner;
             }
@@ -228,7 +234,8 @@
         if owner != self.own_address() {
             return;
         }
-        let grant = self.inner.upstreams.answer_share(from, request);
+        let reach = self.reach();
+        let grant = self.inner.upstreams.answer_share(from, request, reach);
         self.send_direct(from, Fact::ShareGrant(Box::new(grant)))
             .await;
     }
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -36,6 +36,7 @@
 use chestnutnotch_core::upstream::TableConfig;
 use chestnutnotch_core::upstream::UpstreamStatus;
 use chestnutnotch_core::upstream::rate::RateNotice;
+use chestnutnotch_core::upstream::rate::Reach;
 use chestnutnotch_core::upstream::rate::ShareGrant;
 use chestnutnotch_core::upstream::rate::ShareRequest;
 use http::HeaderMap;
@@ -205,9 +206,14 @@
     }
 
     /// Answers a router's request as the owner of the rate.
-    pub fn answer_share(&self, router: SocketAddr, request: &ShareRequest) -> ShareGrant {
+    pub fn answer_share(
+        &self,
+        router: SocketAddr,
+        request: &ShareRequest,
+        reach: Reach,
+    ) -> ShareGrant {
         let now = self.timer.now();
-        let grant = self.table().answer_share(now, router, request);
+        let grant = self.table().answer_share(now, router, request, reach);
         let label = match grant.tokens {
             0 => "owner_refused",
             _ => "owner_granted",
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -281,7 +281,7 @@
     if !gateway.upstreams.has_rates() {
         return;
     }
-    let routers = gateway.router_count();
+    let routers = gateway.nodes.reach().known;
     let found = gateway.upstreams.find_limited(&job.criteria(), routers);
     let Some(limited) = found else {
         return;
