--- a/crates/core/examples/rate_policy.rs
+++ b/crates/core/examples/rate_policy.rs
@@ -2,8 +2,8 @@
 //! `cargo run --release -p chestnutnotch-core --example rate_policy`.
 //!
 //! Requests arrive at random at the routers of a load. Each is sent or placed elsewhere. A row shows
-//! the most requests sent in any four seconds, the requests that the rate allows in them, and the
-//! part of what the upstream takes that is used.
+//! the most requests sent in any four seconds, the requests that the rate allows in them, the part
+//! of what the upstream takes that is used, and the requests that the owner gets for shares.
 
 use self::rate_world::Load;
 use self::rate_world::WINDOW;
@@ -42,8 +42,10 @@
 }
 
 fn main() {
-    println!("| rate | routers | load | way | most in 4 s | allowed in 4 s | used |");
-    println!("|---|---|---|---|---|---|---|");
+    println!(
+        "| rate | routers | load | way | most in 4 s | allowed in 4 s | used | asked a second |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
     for (rate, routers) in [
         (1.2, 12),
         (1.2, 200),
@@ -54,27 +56,29 @@
     ] {
         for load in [Load::One, Load::All, Load::Moving] {
             for policy in [Policy::Whole, Policy::Even, Policy::Counts, Policy::Owner] {
-                let sent = simulate(rate, routers, load, policy);
+                let (sent, asked) = simulate(rate, routers, load, policy);
                 let most = most_in_window(&sent, 0);
                 let used = sent.len() as f64 / (rate * RUN as f64 / 1_000.0);
                 println!(
-                    "| {rate} | {routers} | {load:?} | {policy:?} | {most} | {:.1} | {:.0}% |",
+                    "| {rate} | {routers} | {load:?} | {policy:?} | {most} | {:.1} | {:.0}% | {:.1} |",
                     rate * 4.0,
-                    used * 100.0
+                    used * 100.0,
+                    asked as f64 * 1_000.0 / RUN as f64
                 );
             }
         }
     }
 }
 
-/// Returns the times at which requests were sent to the upstream, which takes `rate` requests a
+/// Returns the times at which requests were sent to the upstream and the number of requests for
+/// shares. The upstream takes `rate` requests a
 /// second. Three times as many arrive, two a second at least.
-fn simulate(rate: f64, routers: usize, load: Load, policy: Policy) -> Vec<u64> {
+fn simulate(rate: f64, routers: usize, load: Load, policy: Policy) -> (Vec<u64>, u64) {
     let arrivals = ((rate * 3_000.0) as u64).max(2_000);
     let mut world = World::new(routers, (rate * 1_000.0) as u64, SEED);
     if let Policy::Owner = policy {
         world.run(RUN, load, arrivals);
-        return world.sent;
+        return (world.sent, world.asked);
     }
     let mut senders = vec![Sender::default(); routers];
     let mut sent: Vec<u64> = Vec::new();
@@ -96,7 +100,7 @@
             sent.push(*now);
         }
     }
-    sent
+    (sent, 0)
 }
 
 impl Sender {
--- a/crates/core/src/upstream/rate/book.rs
+++ b/crates/core/src/upstream/rate/book.rs
@@ -15,6 +15,7 @@
 use super::known::KnownRate;
 use super::known::NoticeEffect;
 use super::share::Share;
+use super::share::ShareStatus;
 
 /// What a router tells the others of the rate that an upstream names.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -213,6 +214,13 @@
         share.is_some_and(|(share, _)| share.want(now, priority))
     }
 
+    /// Returns the state of this router's share, for the log.
+    pub fn status(&self, now: Millis, upstream: &Upstream) -> ShareStatus {
+        let entry = self.entries.get(upstream);
+        let share = entry.and_then(|entry| entry.share.as_ref());
+        share.map_or(ShareStatus::default(), |share| share.status(now))
+    }
+
     /// Returns the request to send to the owner of an upstream's rate, if one is due.
     pub fn ask(&mut self, now: Millis, upstream: &Upstream) -> Option<ShareRequest> {
         let entry = self.entries.get_mut(upstream)?;
--- a/crates/core/src/upstream/rate/mod.rs
+++ b/crates/core/src/upstream/rate/mod.rs
@@ -16,3 +16,4 @@
 pub use book::ShareRequest;
 pub use known::KnownRate;
 pub use known::NoticeEffect;
+pub use share::ShareStatus;
--- a/crates/core/src/upstream/rate/share.rs
+++ b/crates/core/src/upstream/rate/share.rs
@@ -50,6 +50,17 @@
     next_return: Millis,
 }
 
+/// State of a share, for the log.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ShareStatus {
+    /// Granted requests that are left.
+    pub granted: u64,
+    /// Time until the owner may be asked again.
+    pub wait: Millis,
+    /// Whether the owner did not answer the last request in time.
+    pub silent: bool,
+}
+
 /// What a router asks the owner for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct Wanted {
@@ -143,6 +154,18 @@
         self.pending.is_none() && now >= self.next_ask && !self.is_granted(now)
     }
 
+    /// Returns what this router may send, and when it may ask for more.
+    pub fn status(&self, now: Millis) -> ShareStatus {
+        ShareStatus {
+            granted: match self.is_granted(now) {
+                true => self.tokens,
+                false => 0,
+            },
+            wait: self.next_ask.saturating_sub(now),
+            silent: self.silent,
+        }
+    }
+
     /// Returns whether a request to the owner is unanswered.
     pub fn is_pending(&self) -> bool {
         self.pending.is_some()
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -41,6 +41,7 @@
 use super::rate::Reach;
 use super::rate::ShareGrant;
 use super::rate::ShareRequest;
+use super::rate::ShareStatus;
 use super::row::Row;
 use super::status::Pool;
 use super::status::Probe;
@@ -144,6 +145,8 @@
     pub upstream: Upstream,
     /// Its rate, as far as this router knows.
     pub known: KnownRate,
+    /// This router's share of it.
+    pub share: ShareStatus,
     /// Whether the owner of the rate may grant the request soon.
     pub may_wait: bool,
 }
@@ -486,10 +489,12 @@
             return None;
         }
         let known = *self.rates.known(&upstream, incarnation)?;
+        let share = self.rates.status(now, &upstream);
         let may_wait = self.rates.want(now, &upstream, incarnation, priority);
         Some(LimitedUpstream {
             upstream,
             known,
+            share,
             may_wait,
         })
     }
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -299,7 +299,8 @@
         target: "request",
         id = &*job.metadata.attempt_id, upstream:% = limited.upstream,
         rate = limited.known.rate.map_or(0, |rate| rate.0), version = limited.known.version,
-        age = now.saturating_sub(limited.known.heard_at).0,
+        age = now.saturating_sub(limited.known.heard_at).0, granted = limited.share.granted,
+        wait = limited.share.wait.0, silent = limited.share.silent,
         owner = owner.map_or(String::new(), |owner| owner.to_string());
         "upstream is at its rate"
     );
