--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -13,7 +13,6 @@
 use crate::map::Map;
 use crate::unit::Incarnation;
 use crate::unit::Millis;
-use crate::unit::RequestRate;
 
 use super::announce::Announcement;
 use super::announce::Kind;
@@ -22,7 +21,6 @@
 use super::assignment::Assignment;
 use super::candidate::usable;
 use super::choice::ChoiceContext;
-use super::choice::random_index;
 use super::config::TableConfig;
 use super::evidence::Evidence;
 use super::evidence::Finding;
@@ -35,18 +33,16 @@
 use super::quarantine::Crash;
 use super::quarantine::Quarantine;
 use super::quarantine::RequestState;
-use super::rate::KnownRate;
 use super::rate::RateBook;
-use super::rate::RateNotice;
-use super::rate::Reach;
-use super::rate::ShareGrant;
-use super::rate::ShareRequest;
-use super::rate::ShareStatus;
 use super::row::Row;
 use super::status::Pool;
 use super::status::Probe;
 use super::status::UpstreamStatus;
 
+mod rates;
+
+pub use rates::LimitedUpstream;
+
 /// Number of an attempt, unique at one router.
 pub type AttemptId = u64;
 
@@ -138,19 +134,6 @@
     Neutral,
 }
 
-/// An upstream that is at its rate, though a request would go there.
-#[derive(Clone, Debug)]
-pub struct LimitedUpstream {
-    /// The upstream.
-    pub upstream: Upstream,
-    /// Its rate, as far as this router knows.
-    pub known: KnownRate,
-    /// This router's share of it.
-    pub share: ShareStatus,
-    /// Whether the owner of the rate may grant the request soon.
-    pub may_wait: bool,
-}
-
 /// Table of the upstreams that one router knows.
 #[derive(Clone, Debug)]
 pub struct Table {
@@ -355,25 +338,6 @@
         }
     }
 
-    /// Applies the rate that the answer to an attempt stated, none if it stated none. Returns the
-    /// change to tell the other routers, if there is one.
-    pub fn observe_rate(
-        &mut self,
-        now: Millis,
-        attempt: AttemptId,
-        rate: Option<RequestRate>,
-    ) -> Option<RateNotice> {
-        let active = self.active.get(&attempt)?;
-        let (upstream, incarnation) = (&active.upstream, active.incarnation);
-        self.rates
-            .observe_answer(now, upstream, incarnation, active.sent_at, rate)
-    }
-
-    /// Returns what is known of the rate that one start of an upstream names.
-    pub fn known_rate(&self, upstream: &Upstream, incarnation: Incarnation) -> Option<&KnownRate> {
-        self.rates.known(upstream, incarnation)
-    }
-
     /// Records that the head of a successful answer to an attempt has arrived.
     pub fn record_answer_head(&mut self, now: Millis, attempt: AttemptId) {
         if let Some(active) = self.active.get_mut(&attempt) {
@@ -456,113 +420,6 @@
             .ok_or(ChoiceError::NoneUsable)
     }
 
-    /// Returns whether an upstream has named a rate.
-    pub fn has_rates(&self) -> bool {
-        !self.rates.is_empty()
-    }
-
-    /// Returns the upstream that would be chosen if it were not at its rate, and if so, whether it is
-    /// worth to wait for the owner of that rate. `routers` is the number of known
-    /// routers, live or not.
-    pub fn find_limited(
-        &mut self,
-        now: Millis,
-        criteria: &Criteria,
-        routers: usize,
-    ) -> Option<LimitedUpstream> {
-        self.rates.refill(now, routers);
-        let context = ChoiceContext {
-            now,
-            config: &self.config,
-            centre: &self.centre,
-            criteria,
-            routers: self.routers,
-            suspected: false,
-            last_heard: self.last_heard,
-        };
-        let (rows, _) = usable(&self.rows, &context, None).ok()?;
-        let row = rows[context.choose(&rows, &mut self.rng)?];
-        let upstream = row.announcement.upstream.clone();
-        let incarnation = row.announcement.incarnation;
-        let priority = criteria.priority;
-        if self.rates.has_room(now, &upstream, incarnation, priority) {
-            return None;
-        }
-        let known = *self.rates.known(&upstream, incarnation)?;
-        let share = self.rates.status(now, &upstream);
-        let may_wait = self.rates.want(now, &upstream, incarnation, priority);
-        Some(LimitedUpstream {
-            upstream,
-            known,
-            share,
-            may_wait,
-        })
-    }
-
-    /// Turns away a request for which every usable upstream is at its rate.
-    fn turn_away(&mut self, now: Millis, criteria: &Criteria) -> ChoiceError {
-        let offering = self.rows.values().filter(|row| {
-            let upstream = &row.announcement.upstream;
-            row.offers(&criteria.kind) && !criteria.avoid.contains(upstream)
-        });
-        let starts: Vec<(Upstream, Incarnation)> = offering
-            .map(|row| {
-                (
-                    row.announcement.upstream.clone(),
-                    row.announcement.incarnation,
-                )
-            })
-            .filter(|(upstream, incarnation)| {
-                let priority = criteria.priority;
-                !self.rates.has_room(now, upstream, *incarnation, priority)
-            })
-            .collect();
-        let first = starts
-            .iter()
-            .min_by_key(|(upstream, start)| self.rates.next_return(now, upstream, *start));
-        let jitter = random_index(&mut self.rng, 1_000) as u64;
-        let until = first.map_or(now, |(upstream, start)| {
-            self.rates.turn_away(now, upstream, *start, jitter)
-        });
-        ChoiceError::RateLimited { until }
-    }
-
-    /// Applies what another router stated of a rate. Returns what to pass on, if it was news.
-    pub fn observe_rate_notice(&mut self, now: Millis, notice: &RateNotice) -> Option<RateNotice> {
-        self.rates.observe_notice(now, notice)
-    }
-
-    /// Returns all known rates, for routers that missed them.
-    pub fn rate_notices(&self) -> impl Iterator<Item = RateNotice> {
-        self.rates.notices()
-    }
-
-    /// See [`RateBook::ask`].
-    pub fn ask_share(&mut self, now: Millis, upstream: &Upstream) -> Option<ShareRequest> {
-        self.rates.ask(now, upstream)
-    }
-
-    /// See [`RateBook::is_pending`].
-    pub fn is_share_pending(&self, upstream: &Upstream) -> bool {
-        self.rates.is_pending(upstream)
-    }
-
-    /// See [`RateBook::answer`].
-    pub fn answer_share(
-        &mut self,
-        now: Millis,
-        router: SocketAddr,
-        request: &ShareRequest,
-        reach: Reach,
-    ) -> ShareGrant {
-        self.rates.answer(now, router, request, reach)
-    }
-
-    /// See [`RateBook::observe_grant`].
-    pub fn observe_grant(&mut self, now: Millis, grant: &ShareGrant) {
-        self.rates.observe_grant(now, grant);
-    }
-
     /// Returns whether the request broke off once, so that it may run only once more.
     pub fn is_suspected(&self, body: &Fingerprint) -> bool {
         let state = self.quarantine.state(body, self.config.evidence_ttl);
