--- a/crates/core/src/upstream/table/rates.rs
+++ b/crates/core/src/upstream/table/rates.rs
@@ -130,17 +130,17 @@
         self.rates.notices()
     }
 
-    /// See [`RateBook::ask`].
+    /// Returns the request to send to the owner of an upstream's rate, if one is due.
     pub fn ask_share(&mut self, now: Millis, upstream: &Upstream) -> Option<ShareRequest> {
         self.rates.ask(now, upstream)
     }
 
-    /// See [`RateBook::is_pending`].
+    /// Returns whether a request to the owner of an upstream's rate is unanswered.
     pub fn is_share_pending(&self, upstream: &Upstream) -> bool {
         self.rates.is_pending(upstream)
     }
 
-    /// See [`RateBook::answer`].
+    /// Answers a router's request as the owner of the rate.
     pub fn answer_share(
         &mut self,
         now: Millis,
@@ -151,7 +151,7 @@
         self.rates.answer(now, router, request, reach)
     }
 
-    /// See [`RateBook::observe_grant`].
+    /// Applies the answer of the owner of a rate.
     pub fn observe_grant(&mut self, now: Millis, grant: &ShareGrant) {
         self.rates.observe_grant(now, grant);
     }
