Only a signed answer ends the rate that an upstream names

An error without a signature, as anything at an upstream's address may send, had no rate and so removed it at all routers: 40 requests in 4 s at one a second, 11 allowed. Refusals that name none were left out already. error_without_a_signature_does_not_end_a_rate failed before and passes.

--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -259,11 +259,12 @@
     }
 }
 
-/// Records the rate of requests that an answer names. A refusal that names none says nothing of it.
+/// Records the rate of requests that an answer names. A refusal that names none says nothing of it,
+/// nor does an answer without a signature.
 fn record_rate(job: &Job, pick: &Pick, metadata: &ResponseMetadata) {
     let rate = match metadata.rate {
         NamedRate::Limit(rate) => Some(rate),
-        NamedRate::Absent if metadata.not_run => return,
+        NamedRate::Absent if metadata.not_run || !metadata.signed => return,
         NamedRate::Absent => None,
         NamedRate::Invalid => {
             job.gateway.metrics.rates.add("invalid");
