Count the crashes of a retry by themselves

All workers had crashed under a fatal part before any stream was complete. Two of these crashes came 16 ms apart at one router, under a request and its retry, and counted as one, as breaks within 20 ms do that a reset of a router's connections causes. So the fatal part had four points, and the common one five, from streams that broke off at the workers while these were down. Breaks now count as one only if both attempts were in flight together.

--- a/crates/core/src/upstream/part_quarantine.rs
+++ b/crates/core/src/upstream/part_quarantine.rs
@@ -144,8 +144,8 @@
 /// Time over which the routers release such a part one after the other, so that the first ones prove it
 /// sound or find that it still crashes upstreams, before all of them send requests with it.
 const RELEASE_SPREAD: Millis = Millis(30_000);
-/// Attempts of one router that break off at several upstreams within this time had a common cause, such
-/// as a reset of its connections. Only the first of them counts.
+/// Attempts of one router that are in flight at the same time and break off at several upstreams within
+/// this time had a common cause, such as a reset of its connections. Only the first of them counts.
 const COINCIDENCE: Millis = Millis(20);
 /// How long a dismissed crash is kept. Evidence is on its way for a few seconds.
 const DISMISSED_TTL: Millis = Millis(60_000);
@@ -189,19 +189,20 @@
         matching.map(|blamed| blamed.until).max()
     }
 
-    /// Records that an upstream broke off an attempt with these parts.
+    /// Records that an upstream broke off an attempt with these parts that began at `sent`.
     pub fn record_break(
         &mut self,
         now: Millis,
         parts: &[PromptPart],
         (upstream, incarnation): (&Upstream, Incarnation),
+        sent: Millis,
         stage: Stage,
     ) {
         for part in parts {
             let known = self.crashes.get(part).into_iter().flatten();
             let mut others =
                 known.filter(|crash| crash.is_own && !crash.is_at(upstream, incarnation));
-            if others.any(|crash| now < crash.at + COINCIDENCE) {
+            if others.any(|crash| now < crash.at + COINCIDENCE && sent < crash.at) {
                 continue;
             }
             let crash = PartCrash {
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -532,7 +532,9 @@
                 PartVerdict::Sound { begun } => self.parts.record_sound(now, &active.parts, begun),
                 PartVerdict::Suspected(stage) => {
                     let place = (&active.upstream, active.incarnation);
-                    self.parts.record_break(now, &active.parts, place, stage);
+                    let sent = active.sent_at;
+                    self.parts
+                        .record_break(now, &active.parts, place, sent, stage);
                 }
                 PartVerdict::Unknown => {}
             }
--- a/crates/core/tests/prompt_parts.rs
+++ b/crates/core/tests/prompt_parts.rs
@@ -147,6 +147,32 @@
         assert!(!is_quarantined(&mut table, 4, &[COMMON, 7]));
     }
 
+    sound_part_is_not_blamed_for_a_request_that_crashes_one_upstream_after_the_other => {
+        let mut table = table();
+        // The request crashes three upstreams, each 16 ms after the one before, and has no proof.
+        let mut wanted = criteria(&[COMMON, FATAL]);
+        for now in [100, 117, 134] {
+            let pick = table.choose(Millis(now), &wanted).expect("one");
+            table.record_answer_head(Millis(now + 1), pick.attempt);
+            table.end(Millis(now + 16), pick.attempt, AttemptOutcome::Broken);
+            wanted.avoid.push(pick.upstream);
+        }
+        let crashed = wanted.avoid;
+        // Other requests break off at them while they are down.
+        let mut wanted = criteria(&[COMMON, 7]);
+        wanted.parts.pop();
+        let all = table.announcements().map(|known| known.upstream.clone());
+        wanted.avoid = all.filter(|upstream| !crashed.contains(upstream)).collect();
+        for now in [300, 400, 500] {
+            if let Ok(pick) = table.choose(Millis(now), &wanted) {
+                table.end(Millis(now + 1), pick.attempt, AttemptOutcome::Broken);
+                wanted.avoid.push(pick.upstream);
+            }
+        }
+        assert!(is_quarantined(&mut table, 600, &[COMMON, FATAL]));
+        assert!(!is_quarantined(&mut table, 600, &[COMMON]));
+    }
+
     five_crashes_with_the_part_waiting_quarantine_it => {
         let mut table = table();
         accuse(&mut table, 1, FATAL, 4, Stage::Waiting);
