Log what ties an upstream's refusal to the request, and count answers by the id that they repeat

Callers were told 'not run' for requests that ran. The lines did not tell whose refusal was believed: 'attempt refused' now has the id in the answer and the number of answers that came before over its connection, so that a left-over refusal (hypothesis 1) can be told from one of the upstream itself (hypothesis 2) and from a failed connection (3). 'answer is not genuine' is logged with the same fields; upstream_answer_ids_total counts answers with their own id, another one, or none on a new or kept connection. No change of logic.

--- a/crates/fleet/src/edges/http/pool.rs
+++ b/crates/fleet/src/edges/http/pool.rs
@@ -81,8 +81,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     key: PoolKey,
-    /// Whether an earlier request was sent over this connection.
-    pub reused: bool,
+    /// Number of requests that were answered over this connection.
+    pub exchanges: u32,
 }
 
 /// An idle connection and the time until which it may be reused.
@@ -144,7 +144,7 @@
         if lifetime.is_zero() {
             return;
         }
-        connection.reused = true;
+        connection.exchanges = connection.exchanges.saturating_add(1);
         let expires = Instant::now() + lifetime;
         let mut all = self.lock();
         let idle = all.entry(connection.key).or_default();
@@ -216,7 +216,7 @@
     Ok(Connection {
         sender,
         key,
-        reused: false,
+        exchanges: 0,
     })
 }
 
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -226,6 +226,7 @@
     };
     job.gateway.metrics.framings.add(body.framing().label());
     let metadata = job.gateway.dialect.read_answer(head.status, &head.headers);
+    count_answer_id(job, &metadata, &connection);
     if let Some(load) = metadata.load {
         job.gateway.upstreams.update_load(&attempt.pick, load);
     }
@@ -237,6 +238,7 @@
         received: Bytes::new(),
     };
     if metadata.not_run {
+        log_refusal(job, &metadata, &opened);
         // Another upstream at the address names its own rate.
         if opened.head.status != StatusCode::MISDIRECTED_REQUEST {
             record_rate(job, &opened.attempt.pick, &metadata);
@@ -245,6 +247,14 @@
     }
     if !is_genuine(job, &metadata, opened.head.status) {
         job.reason = "foreign_answer";
+        log::info!(
+            target: "upstream",
+            id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream,
+            status = opened.head.status.as_u16(),
+            answer_id = metadata.attempt_id.as_deref().unwrap_or(""),
+            exchanges = opened.connection.exchanges, signed = metadata.signed;
+            "answer is not genuine"
+        );
         opened.attempt.end(AttemptOutcome::Broken);
         return Err(AttemptFailure::maybe_ran(Refusal::AnswerLost));
     }
@@ -259,6 +269,31 @@
     }
 }
 
+/// Counts whether an answer repeats the id of the request for which it arrived.
+fn count_answer_id(job: &Job, metadata: &ResponseMetadata, connection: &Connection) {
+    job.gateway
+        .metrics
+        .answer_ids
+        .add(match &metadata.attempt_id {
+            Some(id) if *id == job.metadata.attempt_id => "own",
+            Some(_) => "other",
+            None if connection.exchanges > 0 => "absent_kept",
+            None => "absent_new",
+        });
+}
+
+/// Logs a refusal with what ties it to the request.
+fn log_refusal(job: &Job, metadata: &ResponseMetadata, opened: &OpenResponse) {
+    log::info!(
+        target: "upstream",
+        id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream,
+        status = opened.head.status.as_u16(),
+        answer_id = metadata.attempt_id.as_deref().unwrap_or(""),
+        exchanges = opened.connection.exchanges;
+        "attempt refused"
+    );
+}
+
 /// Records the rate of requests that an answer names. A refusal that names none says nothing of it,
 /// nor does an answer without a signature.
 fn record_rate(job: &Job, pick: &Pick, metadata: &ResponseMetadata) {
@@ -343,7 +378,8 @@
     let gateway = std::sync::Arc::clone(&job.gateway);
     match gateway.pool.connect(place).await {
         Ok(connection) => {
-            let label = if connection.reused { "kept" } else { "new" };
+            let is_kept = connection.exchanges > 0;
+            let label = if is_kept { "kept" } else { "new" };
             gateway.metrics.connections.add(label);
             Ok(connection)
         }
@@ -458,7 +494,6 @@
 fn on_refused(job: &mut Job, opened: OpenResponse) -> AttemptFailure {
     let status = opened.head.status;
     job.reason = "refused";
-    log::info!(target: "upstream", id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream, status = status.as_u16(); "attempt refused");
     if let Some(charge) = &mut job.charge {
         charge.mark_not_run();
     }
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -77,6 +77,8 @@
     pub connections: OutcomeCounter,
     /// Answers of upstreams to pass-through requests by what marks the end of the body.
     pub framings: OutcomeCounter,
+    /// Answers by whether they repeat the id of the request: its own, another one, or none.
+    pub answer_ids: OutcomeCounter,
     /// Such answers that are not complete or not valid, by fault.
     pub faults: OutcomeCounter,
     /// Fetches of newer routes from other nodes by outcome.
@@ -147,6 +149,7 @@
             revision: Gauge::default(),
             connections: OutcomeCounter::default(),
             framings: OutcomeCounter::default(),
+            answer_ids: OutcomeCounter::default(),
             faults: OutcomeCounter::default(),
             plan_fetches: OutcomeCounter::default(),
             loans: OutcomeCounter::default(),
@@ -178,6 +181,11 @@
             ("spreads", "Messages between routers", &self.spreads),
             ("connections", "Connections to upstreams", &self.connections),
             ("answer_framings", "Answers by framing", &self.framings),
+            (
+                "answer_ids",
+                "Answers by the id that they repeat",
+                &self.answer_ids,
+            ),
             ("answer_faults", "Broken answers by fault", &self.faults),
             (
                 "plan_fetches",
