Tie answers to their requests before anything in them counts

Symptom: callers were told 503 for requests that a worker ran, and requests that may run once were sent to a second worker. Cause: exchange::attempt looked at 'not run' before it compared the id of the answer, so a refusal of an earlier request that was written once more on a kept connection was believed for the request that was on it. Its load and rate counted too, and a foreign answer counted as a crash by the request. Change: an answer counts only if it repeats the request's id or, without one, is the first over its connection (edges::http::Tie). A connection remembers the ids that were refused over it and is not used for them again; requests without an id get a new one. NotRun is the evidence: AttemptFailure carries it, Refusal::response takes it, and without it a status that promises becomes 502.

--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -127,6 +127,8 @@
     Unreachable,
     /// The connection broke, or the answer was malformed, after the request was sent.
     Broken,
+    /// The answer that arrived was not one to this request.
+    Unmatched,
     /// No answer arrived in time.
     TimedOut,
     /// The caller went away, or the attempt ended in another way that tells nothing of the
@@ -517,6 +519,9 @@
                     row.last_probe = Some(now);
                 }
             }
+            AttemptOutcome::Unmatched => {
+                row.breaker.record_fault(now, &self.config);
+            }
             AttemptOutcome::TimedOut => {
                 row.breaker.record_timeout(now, &self.config);
             }
@@ -559,7 +564,10 @@
             AttemptOutcome::Unreachable => self
                 .quarantine
                 .confirm_crashes(&active.upstream, active.incarnation),
-            AttemptOutcome::Overload | AttemptOutcome::TimedOut | AttemptOutcome::Neutral => {}
+            AttemptOutcome::Overload
+            | AttemptOutcome::Unmatched
+            | AttemptOutcome::TimedOut
+            | AttemptOutcome::Neutral => {}
         }
     }
 
--- a/crates/core/tests/upstream_quarantine.rs
+++ b/crates/core/tests/upstream_quarantine.rs
@@ -102,6 +102,16 @@
         assert!(table.choose(Millis(5), &criteria("p")).is_ok());
     }
 
+    answers_to_other_requests_are_no_evidence_of_a_crash => {
+        let mut table = table(&["w1", "w2", "w3"]);
+        run(&mut table, 1, "p", AttemptOutcome::Unmatched);
+        run(&mut table, 2, "p", AttemptOutcome::Unmatched);
+        assert!(table.choose(Millis(3), &criteria("p")).is_ok());
+        let mut out = Vec::new();
+        table.drain_crashes(&mut out);
+        assert!(out.is_empty());
+    }
+
     two_crashes_are_final => {
         let mut table = table(&["w1", "w2", "w3"]);
         let first = run(&mut table, 1, "p", AttemptOutcome::Broken);
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -282,6 +282,7 @@
             AttemptOutcome::Overload => "overload",
             AttemptOutcome::Unreachable => "unreachable",
             AttemptOutcome::Broken => "broken",
+            AttemptOutcome::Unmatched => "unmatched",
             AttemptOutcome::TimedOut => "late",
             AttemptOutcome::Neutral => "neutral",
         });
--- a/crates/fleet/src/edges/http/mod.rs
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -3,7 +3,7 @@
 //! [`server`] accepts connections from callers, [`client`] and [`pool`] connect to upstreams,
 //! [`body`] holds the bodies of responses, [`read`] reads the bodies of requests and [`answer`] those
 //! of upstreams' answers, of which it decides whether they are complete. All of them bound bytes and
-//! time. [`framing`] tells how the end of a body is marked, and [`events`] splits a body of
+//! time. [`not_run`] is the evidence that an upstream did not run a request. [`framing`] tells how the end of a body is marked, and [`events`] splits a body of
 //! server-sent events.
 
 pub mod answer;
@@ -13,6 +13,7 @@
 pub mod events;
 pub mod framing;
 pub mod interim;
+pub mod not_run;
 pub mod pool;
 pub mod read;
 pub mod server;
@@ -26,5 +27,7 @@
 pub use client::HttpClient;
 pub use client::SendError;
 pub use framing::Framing;
+pub use not_run::NotRun;
+pub use not_run::Tie;
 pub use read::ReadError;
 pub use read::read_bounded;
--- a/crates/fleet/src/edges/http/pool.rs
+++ b/crates/fleet/src/edges/http/pool.rs
@@ -42,6 +42,9 @@
 /// Bound on the idle connections to one incarnation of an upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 32;
 
+/// Number of refused requests after which a connection is not kept, which bounds what it remembers.
+const MAX_REFUSED: usize = 64;
+
 /// Bound on the head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -83,6 +86,8 @@
     key: PoolKey,
     /// Number of requests that were answered over this connection.
     pub exchanges: u32,
+    /// Ids of the requests that were refused over this connection.
+    refused: Vec<Arc<str>>,
 }
 
 /// An idle connection and the time until which it may be reused.
@@ -99,45 +104,41 @@
 }
 
 impl Pool {
-    /// Returns an idle connection, or opens one if there is none.
+    /// Returns an idle connection on which a left-over answer can be told from one to the request
+    /// with the id `request`, or opens one if there is none. A request without an id always gets a
+    /// new one.
     ///
     /// # Errors
     ///
     /// [`ExchangeError::Unreachable`] if no connection is made.
-    pub async fn connect(&self, key: PoolKey) -> Result<Connection, ExchangeError> {
-        match self.take_idle(key) {
+    pub async fn connect(&self, key: PoolKey, request: &str) -> Result<Connection, ExchangeError> {
+        match self.take_idle(key, request) {
             Some(connection) => Ok(connection),
             None => open_connection(key).await,
         }
     }
 
-    /// Opens a connection without looking for an idle one.
-    ///
-    /// # Errors
-    ///
-    /// [`ExchangeError::Unreachable`] if no connection is made.
-    pub async fn connect_new(&self, key: PoolKey) -> Result<Connection, ExchangeError> {
-        open_connection(key).await
-    }
-
-    /// Removes the most recently used idle connection that is still open and not expired.
-    fn take_idle(&self, key: PoolKey) -> Option<Connection> {
+    /// Removes the most recently used idle connection that is still open and not expired, and over
+    /// which no request with the same id was refused.
+    fn take_idle(&self, key: PoolKey, request: &str) -> Option<Connection> {
+        if request.is_empty() {
+            return None;
+        }
         let now = Instant::now();
         let mut all = self.lock();
         let idle = all.get_mut(&key)?;
-        while let Some(last) = idle.pop() {
-            if now < last.expires && last.connection.sender.is_ready() {
-                return Some(last.connection);
-            }
-        }
-        None
+        idle.retain(|one| now < one.expires && one.connection.sender.is_ready());
+        let was_refused = |one: &Idle| one.connection.refused.iter().any(|id| **id == *request);
+        let found = idle.iter().rposition(|one| !was_refused(one))?;
+        Some(idle.remove(found).connection)
     }
 
     /// Returns a connection to the pool once the response with these headers was read to its end.
     /// Closes it instead if the upstream asks for that or has closed it, the upstream's idle limit
     /// is too short, or the pool is full.
     pub fn keep(&self, mut connection: Connection, headers: &HeaderMap) {
-        if requests_close(headers) || connection.sender.is_closed() {
+        let is_full = connection.refused.len() >= MAX_REFUSED;
+        if is_full || requests_close(headers) || connection.sender.is_closed() {
             return;
         }
         let lifetime = idle_timeout(headers).saturating_sub(IDLE_MARGIN);
@@ -171,6 +172,12 @@
 }
 
 impl Connection {
+    /// Records that the request with this id was refused, so that a copy of the refusal is not taken
+    /// for an answer to another request with the same id.
+    pub fn record_refusal(&mut self, request: Arc<str>) {
+        self.refused.push(request);
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
@@ -217,6 +224,7 @@
         sender,
         key,
         exchanges: 0,
+        refused: Vec::new(),
     })
 }
 
--- a/crates/fleet/src/gateway/charge.rs
+++ b/crates/fleet/src/gateway/charge.rs
@@ -13,6 +13,7 @@
 use crate::controllers::allotment::Allotment;
 use crate::controllers::nodes::Nodes;
 use crate::dialect::Prompt;
+use crate::edges::http::NotRun;
 use crate::edges::rpc::node::Lender;
 use crate::filters::refusal::Refusal as FilterRefusal;
 use crate::gateway::loans::Loans;
@@ -144,7 +145,7 @@
 
     /// Undoes [`Charge::mark_sent`] after an attempt that did not run. Has no effect if tokens were
     /// delivered by an earlier attempt.
-    pub fn mark_not_run(&mut self) {
+    pub fn mark_not_run(&mut self, _evidence: NotRun) {
         self.sent = self.delivered > Tokens::ZERO;
     }
 
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -26,7 +26,9 @@
 use crate::dialect::ResponseMetadata;
 use crate::edges::http::AnswerBody;
 use crate::edges::http::AnswerFault;
+use crate::edges::http::NotRun;
 use crate::edges::http::ReplyBody;
+use crate::edges::http::Tie;
 use crate::edges::http::pool::Connection;
 use crate::edges::http::pool::ExchangeError;
 use crate::edges::http::pool::PoolKey;
@@ -114,17 +116,17 @@
 pub struct AttemptFailure {
     /// Refusal for the caller if no further attempt is made.
     pub refusal: Refusal,
-    /// Whether the request may have run.
-    pub maybe_ran: bool,
+    /// Evidence that this attempt did not run. Without it, the request may have run.
+    pub not_run: Option<NotRun>,
     /// The upstream's error answer, forwarded to the caller if no further attempt is made.
     pub response: Option<Box<Response<ReplyBody>>>,
 }
 
 impl AttemptFailure {
-    fn not_run(refusal: Refusal) -> Self {
+    fn not_run(refusal: Refusal, evidence: NotRun) -> Self {
         Self {
             refusal,
-            maybe_ran: false,
+            not_run: Some(evidence),
             response: None,
         }
     }
@@ -132,7 +134,7 @@
     fn maybe_ran(refusal: Refusal) -> Self {
         Self {
             refusal,
-            maybe_ran: true,
+            not_run: None,
             response: None,
         }
     }
@@ -146,17 +148,17 @@
         let sends_before = job.sends;
         let failure = match attempt(&mut job, None).await {
             Ok(AttemptResponse::Complete(response)) => {
-                job.log_end(response.status(), "served");
+                job.log_end(response.status(), "served", None);
                 return response;
             }
             Ok(AttemptResponse::Stream(opened)) => return stream::relay(job, *opened),
             Err(failure) => failure,
         };
-        job.runs += u32::from(failure.maybe_ran);
+        job.record_failure(&failure);
         unsent += u32::from(sends_before == job.sends);
-        let again = match failure.maybe_ran {
-            true => job.may_rerun(),
-            false => is_temporary(&failure.refusal) && unsent < MAX_UNSENT_ATTEMPTS,
+        let again = match failure.not_run {
+            None => job.may_rerun(),
+            Some(_) => is_temporary(&failure.refusal) && unsent < MAX_UNSENT_ATTEMPTS,
         };
         if !again || job.sends >= MAX_SENDS || job.time_left() == Millis::ZERO || !job.take_retry()
         {
@@ -174,17 +176,14 @@
 /// Returns the answer to a request after its last failed attempt.
 fn final_response(job: &Job, failure: AttemptFailure) -> Response<ReplyBody> {
     if let Some(response) = failure.response {
-        job.log_end(response.status(), "passed_on");
+        job.log_end(response.status(), "passed_on", None);
         return *response;
     }
-    let refusal = match (job.runs, failure.refusal) {
-        (0, refusal) => refusal,
-        // An earlier attempt may have run, so the answer must not say that the request did not.
-        (_, refusal @ (Refusal::AnswerLost | Refusal::AnswerLate)) => refusal,
-        (_, _) => Refusal::AnswerLost,
-    };
-    job.log_end(refusal.status(), refusal.code());
-    refusal.response(job.route.target_latency)
+    // The evidence is about the last attempt and does not cover an earlier one that may have run.
+    let evidence = failure.not_run.filter(|_| job.runs == 0);
+    let refusal = failure.refusal.supported_by(evidence);
+    job.log_end(refusal.status(), refusal.code(), evidence);
+    refusal.response(job.route.target_latency, evidence)
 }
 
 /// Sends the request to one upstream. With `resume_after`, asks for the rest of a stream after the
@@ -198,7 +197,8 @@
     resume_after: Option<u64>,
 ) -> Result<AttemptResponse, AttemptFailure> {
     if job.time_left() == Millis::ZERO {
-        return Err(AttemptFailure::not_run(Refusal::DeadlinePassed));
+        let evidence = NotRun::not_begun();
+        return Err(AttemptFailure::not_run(Refusal::DeadlinePassed, evidence));
     }
     acquire_share(job).await;
     let attempt = choose(job)?;
@@ -227,9 +227,6 @@
     job.gateway.metrics.framings.add(body.framing().label());
     let metadata = job.gateway.dialect.read_answer(head.status, &head.headers);
     count_answer_id(job, &metadata, &connection);
-    if let Some(load) = metadata.load {
-        job.gateway.upstreams.update_load(&attempt.pick, load);
-    }
     let opened = OpenResponse {
         attempt,
         connection,
@@ -237,26 +234,24 @@
         body,
         received: Bytes::new(),
     };
+    let sent_id = &job.metadata.attempt_id;
+    let answered_id = metadata.attempt_id.as_deref();
+    let Some(tie) = Tie::of(sent_id, answered_id, opened.connection.exchanges) else {
+        return Err(on_unmatched(job, &metadata, opened));
+    };
+    if let Some(load) = metadata.load {
+        let upstreams = &job.gateway.upstreams;
+        upstreams.update_load(&opened.attempt.pick, load);
+    }
     if metadata.not_run {
-        log_refusal(job, &metadata, &opened);
         // Another upstream at the address names its own rate.
         if opened.head.status != StatusCode::MISDIRECTED_REQUEST {
             record_rate(job, &opened.attempt.pick, &metadata);
         }
-        return Err(on_refused(job, opened));
+        return Err(on_refused(job, opened, tie));
     }
-    if !is_genuine(job, &metadata, opened.head.status) {
-        job.reason = "foreign_answer";
-        log::info!(
-            target: "upstream",
-            id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream,
-            status = opened.head.status.as_u16(),
-            answer_id = metadata.attempt_id.as_deref().unwrap_or(""),
-            exchanges = opened.connection.exchanges, signed = metadata.signed;
-            "answer is not genuine"
-        );
-        opened.attempt.end(AttemptOutcome::Broken);
-        return Err(AttemptFailure::maybe_ran(Refusal::AnswerLost));
+    if !is_genuine(&metadata, opened.head.status) {
+        return Err(on_foreign(job, opened));
     }
     record_rate(job, &opened.attempt.pick, &metadata);
     if opened.head.status.is_success() {
@@ -282,18 +277,6 @@
         });
 }
 
-/// Logs a refusal with what ties it to the request.
-fn log_refusal(job: &Job, metadata: &ResponseMetadata, opened: &OpenResponse) {
-    log::info!(
-        target: "upstream",
-        id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream,
-        status = opened.head.status.as_u16(),
-        answer_id = metadata.attempt_id.as_deref().unwrap_or(""),
-        exchanges = opened.connection.exchanges;
-        "attempt refused"
-    );
-}
-
 /// Records the rate of requests that an answer names. A refusal that names none says nothing of it,
 /// nor does an answer without a signature.
 fn record_rate(job: &Job, pick: &Pick, metadata: &ResponseMetadata) {
@@ -346,7 +329,8 @@
 fn choose(job: &mut Job) -> Result<AttemptGuard, AttemptFailure> {
     let gateway = &job.gateway;
     let pick = gateway.upstreams.choose(&job.criteria()).map_err(|error| {
-        AttemptFailure::not_run(match error {
+        let evidence = NotRun::from_choice(&error);
+        let refusal = match error {
             ChoiceError::Quarantined { until } | ChoiceError::Unconfirmed { until } => {
                 let wait = until.saturating_sub(gateway.timer.now());
                 log::info!(target: "upstream", id = &*job.metadata.attempt_id, parts = job.log_parts().as_str(), wait = wait.0; "request quarantined");
@@ -359,7 +343,8 @@
             }
             ChoiceError::Full => Refusal::Full,
             ChoiceError::NoneKnown | ChoiceError::NoneUsable => Refusal::NoUpstream,
-        })
+        };
+        AttemptFailure::not_run(refusal, evidence)
     })?;
     job.tried.push(pick.upstream.clone());
     Ok(AttemptGuard {
@@ -376,7 +361,8 @@
         incarnation: attempt.pick.incarnation.0,
     };
     let gateway = std::sync::Arc::clone(&job.gateway);
-    match gateway.pool.connect(place).await {
+    let id = &job.metadata.attempt_id;
+    match gateway.pool.connect(place, id).await {
         Ok(connection) => {
             let is_kept = connection.exchanges > 0;
             let label = if is_kept { "kept" } else { "new" };
@@ -390,7 +376,11 @@
             gateway
                 .upstreams
                 .end(attempt.pick.attempt, AttemptOutcome::Unreachable);
-            Err(AttemptFailure::not_run(Refusal::NoUpstream))
+            Err(AttemptFailure {
+                refusal: Refusal::NoUpstream,
+                not_run: NotRun::from_exchange(&error),
+                response: None,
+            })
         }
     }
 }
@@ -440,37 +430,62 @@
     }
 }
 
-/// Returns whether the answer belongs to this request and comes from an upstream: its id, if any,
-/// has to match, and a successful answer has to be signed. An interim answer is none.
-fn is_genuine(job: &Job, metadata: &ResponseMetadata, status: StatusCode) -> bool {
-    let id_matches = metadata
-        .attempt_id
-        .as_ref()
-        .is_none_or(|id| *id == job.metadata.attempt_id);
-    id_matches && !status.is_informational() && (metadata.signed || !status.is_success())
+/// Returns whether an answer that is tied to the request comes from an upstream: a successful one has
+/// to be signed. An interim answer is none.
+fn is_genuine(metadata: &ResponseMetadata, status: StatusCode) -> bool {
+    !status.is_informational() && (metadata.signed || !status.is_success())
 }
 
 /// Handles a connection that failed before the answer was complete.
 fn on_broken(job: &mut Job, attempt: AttemptGuard, error: &ExchangeError) -> AttemptFailure {
     log::info!(target: "upstream", id = &*job.metadata.attempt_id, upstream:% = attempt.pick.upstream, parts = job.log_parts().as_str(), error:% = error; "attempt broke off");
-    match error {
-        ExchangeError::Closed | ExchangeError::Unreachable { .. } => {
-            job.reason = "closed_before";
-            // Nothing was sent; the same upstream may be tried again.
-            job.tried.pop();
-            job.sends -= 1;
-            if let Some(charge) = &mut job.charge {
-                charge.mark_not_run();
-            }
-            drop(attempt);
-            AttemptFailure::not_run(Refusal::NoUpstream)
-        }
-        ExchangeError::Broken(_) | ExchangeError::NoAnswer => {
-            job.reason = "broken";
-            attempt.end(AttemptOutcome::Broken);
-            AttemptFailure::maybe_ran(Refusal::AnswerLost)
-        }
+    let Some(evidence) = NotRun::from_exchange(error) else {
+        job.reason = "broken";
+        attempt.end(AttemptOutcome::Broken);
+        return AttemptFailure::maybe_ran(Refusal::AnswerLost);
+    };
+    job.reason = "closed_before";
+    // The same upstream may be tried again.
+    job.tried.pop();
+    job.sends -= 1;
+    if let Some(charge) = &mut job.charge {
+        charge.mark_not_run(evidence);
     }
+    drop(attempt);
+    AttemptFailure::not_run(Refusal::NoUpstream, evidence)
+}
+
+/// Handles an answer that is not tied to the request, so that it says nothing of it or of the
+/// upstream. The rest of the connection can't be trusted, and it is closed.
+fn on_unmatched(
+    job: &mut Job,
+    metadata: &ResponseMetadata,
+    opened: OpenResponse,
+) -> AttemptFailure {
+    job.reason = "unmatched_answer";
+    log::info!(
+        target: "upstream",
+        id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream,
+        status = opened.head.status.as_u16(),
+        answer_id = metadata.attempt_id.as_deref().unwrap_or(""),
+        exchanges = opened.connection.exchanges, states_not_run = metadata.not_run;
+        "answer is not tied to the request"
+    );
+    opened.attempt.end(AttemptOutcome::Unmatched);
+    AttemptFailure::maybe_ran(Refusal::AnswerLost)
+}
+
+/// Handles a success without the signature of an upstream, or an interim answer in place of one.
+fn on_foreign(job: &mut Job, opened: OpenResponse) -> AttemptFailure {
+    job.reason = "foreign_answer";
+    log::info!(
+        target: "upstream",
+        id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream,
+        status = opened.head.status.as_u16();
+        "answer is not genuine"
+    );
+    opened.attempt.end(AttemptOutcome::Broken);
+    AttemptFailure::maybe_ran(Refusal::AnswerLost)
 }
 
 /// Handles an answer that is not complete.
@@ -491,12 +506,21 @@
 }
 
 /// Handles an answer by which the upstream states that it did not run the request.
-fn on_refused(job: &mut Job, opened: OpenResponse) -> AttemptFailure {
+fn on_refused(job: &mut Job, mut opened: OpenResponse, tie: Tie) -> AttemptFailure {
     let status = opened.head.status;
+    let evidence = NotRun::from_answer(tie);
     job.reason = "refused";
+    log::info!(
+        target: "upstream",
+        id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream,
+        status = status.as_u16(), tie = tie.label(), exchanges = opened.connection.exchanges;
+        "attempt refused"
+    );
     if let Some(charge) = &mut job.charge {
-        charge.mark_not_run();
+        charge.mark_not_run(evidence);
     }
+    let id = std::sync::Arc::clone(&job.metadata.attempt_id);
+    opened.connection.record_refusal(id);
     let outcome = match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => AttemptOutcome::Overload,
         // Another upstream has taken over the address.
@@ -505,10 +529,11 @@
     };
     opened.attempt.end(outcome);
     drain(job, opened.connection, opened.head, opened.body);
-    match outcome {
-        AttemptOutcome::Neutral => AttemptFailure::not_run(Refusal::NoUpstream),
-        _ => AttemptFailure::not_run(Refusal::Full),
-    }
+    let refusal = match outcome {
+        AttemptOutcome::Neutral => Refusal::NoUpstream,
+        _ => Refusal::Full,
+    };
+    AttemptFailure::not_run(refusal, evidence)
 }
 
 /// Reads the rest of an answer in the background, so that its connection can be reused.
@@ -556,7 +581,7 @@
         job.reason = "upstream_error";
         return Err(AttemptFailure {
             refusal: Refusal::AnswerLost,
-            maybe_ran: true,
+            not_run: None,
             response: Some(Box::new(response)),
         });
     }
@@ -599,8 +624,17 @@
         granted
     }
 
-    /// Logs the end of the request and counts it in the metrics.
-    pub fn log_end(&self, status: StatusCode, outcome: &'static str) {
+    /// Counts the attempt as run unless it is proved that it did not run.
+    pub fn record_failure(&mut self, failure: &AttemptFailure) {
+        match failure.not_run {
+            Some(evidence) => self.gateway.metrics.not_run.add(evidence.label()),
+            None => self.runs += 1,
+        }
+    }
+
+    /// Logs the end of the request and counts it in the metrics. `evidence` is that the request did
+    /// not run, if the answer says so.
+    pub fn log_end(&self, status: StatusCode, outcome: &'static str, evidence: Option<NotRun>) {
         let ms = self.elapsed().0;
         let kind = kind_label(self.route.kind);
         self.gateway.metrics.count_pass_through(kind, outcome);
@@ -612,6 +646,7 @@
             target: "request",
             id = &*self.metadata.attempt_id, route = &*self.route.name, kind, outcome,
             status = status.as_u16(), ms, sends = self.sends, reason = self.reason,
+            not_run = evidence.map_or("", NotRun::label),
             upstream = self.tried.last().map_or("", |upstream| upstream.as_str()),
             charged = self.charge.as_ref().map_or(0, |charge| charge.due().0);
             "answered"
@@ -622,7 +657,7 @@
         log::info!(
             target: "request",
             id = &*self.metadata.attempt_id, route = &*self.route.name, code = failure.refusal.code(),
-            ran = failure.maybe_ran, reason = self.reason, left = self.time_left().0, sends = self.sends;
+            not_run = failure.not_run.map_or("", NotRun::label), reason = self.reason, left = self.time_left().0, sends = self.sends;
             "sent again"
         );
     }
--- a/crates/fleet/src/gateway/front.rs
+++ b/crates/fleet/src/gateway/front.rs
@@ -39,6 +39,7 @@
 use crate::controllers::upstreams::Upstreams;
 use crate::dialect::Dialect;
 use crate::dialect::RequestMetadata;
+use crate::edges::http::NotRun;
 use crate::edges::http::ReadError;
 use crate::edges::http::ReplyBody;
 use crate::edges::http::pool::Pool;
@@ -158,11 +159,11 @@
         let (head, body) = request.into_parts();
         let (routes, route) = match self.find_route(&head) {
             Ok(found) => found,
-            Err(refusal) => return self.refuse(&refusal, None, "", start),
+            Err(refusal) => return self.refuse(refusal, None, "", start),
         };
         let metadata = match self.dialect.read_request(&head) {
             Ok(metadata) => metadata,
-            Err(error) => return self.refuse(&error.into(), Some(&route), "", start),
+            Err(error) => return self.refuse(error.into(), Some(&route), "", start),
         };
         let id = metadata.attempt_id.clone();
         let received = ReceivedRequest {
@@ -174,14 +175,14 @@
         };
         match self.admit(received, &routes, &route).await {
             Ok(job) => exchange::run(job).await,
-            Err(refusal) => self.refuse(&refusal, Some(&route), &id, start),
+            Err(refusal) => self.refuse(refusal, Some(&route), &id, start),
         }
     }
 
     /// Logs, counts and answers a request that is refused before an upstream is chosen.
     fn refuse(
         &self,
-        refusal: &Refusal,
+        refusal: Refusal,
         route: Option<&Route>,
         id: &str,
         start: Millis,
@@ -197,7 +198,8 @@
             ms = self.timer.now().saturating_sub(start).0;
             "refused"
         );
-        refusal.response(route.map_or(Millis::ZERO, |route| route.target_latency))
+        let target = route.map_or(Millis::ZERO, |route| route.target_latency);
+        refusal.response(target, Some(NotRun::not_begun()))
     }
 
     /// Finds the route by the host and path of the request.
--- a/crates/fleet/src/gateway/refusal.rs
+++ b/crates/fleet/src/gateway/refusal.rs
@@ -9,7 +9,9 @@
 use thiserror::Error;
 
 use crate::dialect::HeaderError;
+use crate::edges::http::NotRun;
 use crate::edges::http::ReplyBody;
+use crate::edges::http::not_run::promises_not_run;
 
 /// Why the router answers a request itself instead of forwarding an upstream's answer.
 #[derive(Clone, Debug, Error)]
@@ -126,9 +128,22 @@
         }
     }
 
-    /// Builds the HTTP answer. `target` is the target latency of the route, or zero if no route was
-    /// found.
-    pub fn response(&self, target: Millis) -> Response<ReplyBody> {
+    /// Returns the refusal that may be told to a caller: this one, or with no evidence that the
+    /// request did not run, one that does not promise it.
+    pub fn supported_by(self, evidence: Option<NotRun>) -> Self {
+        match evidence {
+            None if promises_not_run(self.status()) => Self::AnswerLost,
+            _ => self,
+        }
+    }
+
+    /// Builds the HTTP answer that the evidence supports. `target` is the target latency of the
+    /// route, or zero if no route was found.
+    pub fn response(self, target: Millis, evidence: Option<NotRun>) -> Response<ReplyBody> {
+        self.supported_by(evidence).render(target)
+    }
+
+    fn render(&self, target: Millis) -> Response<ReplyBody> {
         let body = format!("{{\"error\":\"{}\",\"detail\":\"{self}\"}}\n", self.code());
         let mut response = Response::new(ReplyBody::whole(Bytes::from(body)));
         *response.status_mut() = self.status();
--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -252,7 +252,7 @@
                     return Some(*opened);
                 }
                 Ok(AttemptResponse::Stream(_) | AttemptResponse::Complete(_)) => break,
-                Err(failure) => self.job.runs += u32::from(failure.maybe_ran),
+                Err(failure) => self.job.record_failure(&failure),
             }
         }
         self.job.gateway.metrics.resumes.add("given_up");
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -77,6 +77,8 @@
     pub connections: OutcomeCounter,
     /// Answers of upstreams to pass-through requests by what marks the end of the body.
     pub framings: OutcomeCounter,
+    /// Attempts that did not run, by the evidence.
+    pub not_run: OutcomeCounter,
     /// Answers by whether they repeat the id of the request: its own, another one, or none.
     pub answer_ids: OutcomeCounter,
     /// Such answers that are not complete or not valid, by fault.
@@ -150,6 +152,7 @@
             connections: OutcomeCounter::default(),
             framings: OutcomeCounter::default(),
             answer_ids: OutcomeCounter::default(),
+            not_run: OutcomeCounter::default(),
             faults: OutcomeCounter::default(),
             plan_fetches: OutcomeCounter::default(),
             loans: OutcomeCounter::default(),
@@ -181,6 +184,11 @@
             ("spreads", "Messages between routers", &self.spreads),
             ("connections", "Connections to upstreams", &self.connections),
             ("answer_framings", "Answers by framing", &self.framings),
+            (
+                "attempts_not_run",
+                "Attempts that did not run by the evidence",
+                &self.not_run,
+            ),
             (
                 "answer_ids",
                 "Answers by the id that they repeat",
