Do not pass on a status that promises more than the upstream said

Symptom: a worker's own 408, 429 or 503 without the statement that it did not run the request reached the caller, who takes it as the promise that it has not run. Cause: errors of upstreams were passed on whatever their status. Now the caller gets 502 without the worker's signature, or the request is sent again where it may be.

--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -29,6 +29,7 @@
 use crate::edges::http::NotRun;
 use crate::edges::http::ReplyBody;
 use crate::edges::http::Tie;
+use crate::edges::http::not_run::promises_not_run;
 use crate::edges::http::pool::Connection;
 use crate::edges::http::pool::ExchangeError;
 use crate::edges::http::pool::PoolKey;
@@ -254,6 +255,9 @@
         return Err(on_foreign(job, opened));
     }
     record_rate(job, &opened.attempt.pick, &metadata);
+    if promises_not_run(opened.head.status) {
+        return Err(on_unstated(job, opened));
+    }
     if opened.head.status.is_success() {
         let upstreams = &job.gateway.upstreams;
         upstreams.record_answer_head(opened.attempt.pick.attempt);
@@ -488,6 +492,21 @@
     AttemptFailure::maybe_ran(Refusal::AnswerLost)
 }
 
+/// Handles an answer whose status would promise the caller that the request was not run, which the
+/// upstream did not state.
+fn on_unstated(job: &mut Job, opened: OpenResponse) -> AttemptFailure {
+    job.reason = "unstated";
+    log::info!(
+        target: "upstream",
+        id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream,
+        status = opened.head.status.as_u16();
+        "answer does not state that the request was not run"
+    );
+    opened.attempt.end(AttemptOutcome::Neutral);
+    drain(job, opened.connection, opened.head, opened.body);
+    AttemptFailure::maybe_ran(Refusal::AnswerLost)
+}
+
 /// Handles an answer that is not complete.
 fn on_fault(job: &mut Job, attempt: AttemptGuard, fault: &AnswerFault) -> AttemptFailure {
     log::info!(target: "upstream", id = &*job.metadata.attempt_id, upstream:% = attempt.pick.upstream, parts = job.log_parts().as_str(), error:% = fault; "answer is not complete");
