Charge the prompt of an attempt that may have run when a later one is refused

Symptom: a request whose first attempt may have run and whose retry was refused paid nothing, so a workspace could use more than its prepaid total. Cause: mark_not_run undid the mark of all attempts. The charge counts attempts now, and evidence takes back one. Test: refusal_of_a_retry_does_not_cover_an_attempt_that_may_have_run failed with 200 in place of 402.

--- a/crates/fleet/src/gateway/charge.rs
+++ b/crates/fleet/src/gateway/charge.rs
@@ -99,7 +99,7 @@
             reservation: Some(reservation),
             prompt_tokens: prompt.tokens,
             max_output: prompt.max_output,
-            sent: false,
+            attempts: 0,
             delivered: Tokens::ZERO,
         })
     }
@@ -132,21 +132,21 @@
     prompt_tokens: Tokens,
     /// Upper bound of the charge for delivered tokens.
     max_output: Tokens,
-    /// Whether the request may have run.
-    sent: bool,
+    /// Number of attempts that may have run.
+    attempts: u32,
     delivered: Tokens,
 }
 
 impl Charge {
-    /// Marks the request as sent; from now on it may run.
+    /// Counts an attempt as sent; from now on it may run.
     pub fn mark_sent(&mut self) {
-        self.sent = true;
+        self.attempts += 1;
     }
 
-    /// Undoes [`Charge::mark_sent`] after an attempt that did not run. Has no effect if tokens were
-    /// delivered by an earlier attempt.
+    /// Undoes the last [`Charge::mark_sent`], as that attempt did not run. Earlier attempts stay
+    /// counted.
     pub fn mark_not_run(&mut self, _evidence: NotRun) {
-        self.sent = self.delivered > Tokens::ZERO;
+        self.attempts = self.attempts.saturating_sub(1);
     }
 
     /// Adds tokens that were delivered to the caller.
@@ -156,9 +156,9 @@
 
     /// Returns the tokens that would be charged if the request ended now.
     pub fn due(&self) -> Tokens {
-        match self.sent {
-            true => self.prompt_tokens + self.delivered.min(self.max_output),
-            false => Tokens::ZERO,
+        match self.attempts {
+            0 => Tokens::ZERO,
+            _ => self.prompt_tokens + self.delivered.min(self.max_output),
         }
     }
 }
