Do not send over a kept connection on which something has arrived

Symptom: more callers than need be would be told 'unknown': a left-over answer, or the end of a connection, that has arrived but was not read yet costs the next request on that connection. Cause: the HTTP library closes such a connection only when its task runs, which on a busy router is after the next request was written. The pool now peeks at the socket before it hands out a connection. Evidence: crates/fleet/tests/pool.rs, the upstream acts while the router's thread is blocked. Without the peek two of five cases fail (bytes that nobody asked for; a closed connection).

--- a/crates/fleet/src/edges/http/mod.rs
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -17,6 +17,7 @@
 pub mod pool;
 pub mod read;
 pub mod server;
+pub mod shared;
 pub mod socket;
 
 pub use answer::AnswerBody;
--- a/crates/fleet/src/edges/http/pool.rs
+++ b/crates/fleet/src/edges/http/pool.rs
@@ -27,6 +27,8 @@
 use tokio::time::Instant;
 
 use crate::edges::http::interim::limit_interim;
+use crate::edges::http::shared::SharedStream;
+use crate::edges::http::shared::StreamProbe;
 use crate::edges::http::socket;
 
 /// Bound on the time to open a connection. It allows many round trips within a region. A full
@@ -83,6 +85,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    probe: StreamProbe,
     key: PoolKey,
     /// Number of requests that were answered over this connection.
     pub exchanges: u32,
@@ -129,8 +132,14 @@
         let idle = all.get_mut(&key)?;
         idle.retain(|one| now < one.expires && one.connection.sender.is_ready());
         let was_refused = |one: &Idle| one.connection.refused.iter().any(|id| **id == *request);
-        let found = idle.iter().rposition(|one| !was_refused(one))?;
-        Some(idle.remove(found).connection)
+        while let Some(found) = idle.iter().rposition(|one| !was_refused(one)) {
+            let connection = idle.remove(found).connection;
+            // What has arrived belongs to no request, and a closed connection loses one.
+            if connection.probe.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
     }
 
     /// Returns a connection to the pool once the response with these headers was read to its end.
@@ -210,6 +219,7 @@
         Err(_) => return Err(unreachable(std::io::ErrorKind::TimedOut.into())),
     };
     socket::set_options(&stream);
+    let (stream, probe) = SharedStream::new(stream);
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -222,6 +232,7 @@
     });
     Ok(Connection {
         sender,
+        probe,
         key,
         exchanges: 0,
         refused: Vec::new(),
--- /dev/null
+++ b/crates/fleet/tests/pool.rs
@@ -0,0 +1,88 @@
+//! Which kept connections are used again.
+#![allow(clippy::panic, clippy::unwrap_used)]
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnutnotch::edges::http::pool::Connection;
+use chestnutnotch::edges::http::pool::Pool;
+use chestnutnotch::edges::http::pool::PoolKey;
+use http::HeaderMap;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+/// Time in which bytes cross the loopback interface.
+const TRANSFER_TIME: Duration = Duration::from_millis(50);
+
+/// What happens to an idle connection at the upstream.
+type Later = fn(&mut TcpStream);
+
+/// Starts an upstream that answers one request on each connection and does something to it when it is
+/// told to. Returns its address, what tells it, and what it reports when done.
+fn start_upstream(later: Later) -> (SocketAddr, Sender<()>, Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (start, started) = mpsc::channel();
+    let (done, finished) = mpsc::channel();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let count = stream.read(&mut [0; 4096]).unwrap();
+        assert!(count > 0);
+        stream.write_all(ANSWER).unwrap();
+        started.recv().unwrap();
+        later(&mut stream);
+        done.send(()).unwrap();
+        // Keeps the listener and the connection open until the test ends.
+        let _ = started.recv();
+    });
+    (address, start, finished)
+}
+
+/// Sends one request and reads its answer to the end.
+async fn exchange(connection: &mut Connection) {
+    let request = Request::new(Full::new(Bytes::new()));
+    let response = connection.send(request).await.unwrap();
+    let body = response.into_body().collect().await.unwrap();
+    assert_eq!(body.to_bytes(), "ok");
+}
+
+/// Keeps a connection after an answer, lets the upstream do something to it while the router does
+/// not run, and checks whether it is used for the request `next`.
+macro_rules! used_again {
+    ($($name:ident: $later:expr, $next:literal => $expected:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let (address, start, finished) = start_upstream($later);
+            let key = PoolKey { address, incarnation: 1 };
+            let pool = Pool::default();
+            let mut connection = pool.connect(key, "first").await.unwrap();
+            exchange(&mut connection).await;
+            connection.record_refusal("refused".into());
+            pool.keep(connection, &HeaderMap::new());
+            start.send(()).unwrap();
+            finished.recv().unwrap();
+            std::thread::sleep(TRANSFER_TIME);
+            let connection = pool.connect(key, $next).await.unwrap();
+            assert_eq!(connection.exchanges > 0, $expected);
+        }
+    )*};
+}
+
+used_again! {
+    quiet_connection_is_used_again: |_| {}, "next" => true;
+    connection_with_bytes_that_nobody_asked_for_is_not_used_again: |stream| stream.write_all(ANSWER).unwrap(), "next" => false;
+    connection_that_the_upstream_closed_is_not_used_again: |stream| stream.shutdown(Shutdown::Write).unwrap(), "next" => false;
+    connection_is_not_used_for_an_id_that_was_refused_on_it: |_| {}, "refused" => false;
+    connection_is_not_used_for_a_request_without_an_id: |_| {}, "" => false;
+}
