Stand-ins: write an earlier answer once more, and repeat request ids

Switches repeat_refusal, repeat_cancel, repeat_stream, unnamed and status. POST /lookup of the plain service is a call that may be repeated and is counted.

--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -131,14 +131,19 @@
         self.runs.retain(run.clone());
         self.start(run.clone(), shared_faults.clone());
         let reported_id = reported_id(&run.id, &faults);
+        if let Some(status) = faults.status {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+            return error(status, "failed");
+        }
         match chat.stream {
             true => stream::events(run, reported_id, 0, faults),
             false => stream::complete(run, reported_id, faults).await,
         }
     }
 
-    /// Streams the answer of an earlier request from a token offset on.
-    pub fn resume(&self, body: &[u8]) -> Response<Body> {
+    /// Streams the answer of an earlier request from a token offset on, or from its first token if
+    /// `from_start` is set.
+    pub fn resume(&self, body: &[u8], from_start: bool) -> Response<Body> {
         let Ok(request) = serde_json::from_slice::<RequestRef>(body) else {
             return error(StatusCode::BAD_REQUEST, "malformed");
         };
@@ -147,7 +152,7 @@
             Some(run) => stream::events(
                 run.clone(),
                 run.id.clone(),
-                request.offset,
+                if from_start { 0 } else { request.offset },
                 Faults::default(),
             ),
             None => error(StatusCode::NOT_FOUND, "unknown_request"),
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -30,4 +30,17 @@
     pub die: bool,
     /// Requests are refused with status 503 before they run.
     pub refuse: bool,
+    /// The latest refusal of a chat or call is written once more on its connection, in place of the
+    /// answer to a later one, which runs.
+    pub repeat_refusal: bool,
+    /// The latest acknowledgement of a cancel is written once more on its connection, in place of
+    /// that of a later cancel, which is executed.
+    pub repeat_cancel: bool,
+    /// A resume on a connection that has carried a stream is answered with all events of the request
+    /// instead of the rest.
+    pub repeat_stream: bool,
+    /// Answers of an engine do not repeat the request id in a header.
+    pub unnamed: bool,
+    /// An engine runs a chat and answers it with this status.
+    pub status: Option<u16>,
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! prompt, so that a test can check all of it. [`Stats`] counts what a stand-in did.
 
 mod announce;
+mod earlier;
 mod engine;
 mod error;
 mod faults;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -17,6 +17,7 @@
 use chestnutnotch_core::upstream::Offer;
 use chestnutnotch_core::upstream::Phase;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -34,6 +35,8 @@
 use tokio::task::JoinSet;
 
 use crate::announce;
+use crate::earlier::EarlierAnswers;
+use crate::earlier::Purpose;
 use crate::engine::Engine;
 use crate::error::Cut;
 use crate::error::StandinError;
@@ -50,6 +53,9 @@
 /// after a failed `accept`.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Header with the id of a request.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
 /// How a stand-in ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ExitReason {
@@ -188,7 +194,8 @@
 ) {
     // A failure only adds latency.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| handle(shared.clone(), request));
+    let earlier = Arc::new(EarlierAnswers::default());
+    let service = service_fn(move |request| handle(shared.clone(), earlier.clone(), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .serve_connection(TokioIo::new(stream), service);
@@ -197,7 +204,11 @@
 }
 
 /// Answers one request. Never returns once the stand-in has crashed.
-async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+async fn handle(
+    shared: Arc<Shared>,
+    earlier: Arc<EarlierAnswers>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Cut> {
     if shared.crashed.load(Ordering::Relaxed) {
         std::future::pending::<()>().await;
     }
@@ -212,34 +223,66 @@
         (&Method::POST, "/faults") => Ok(shared.set_faults(&body)),
         (method, path) => match &shared.role {
             Role::Engine(engine) => {
-                handle_engine(&shared, engine, (method, path), &head.headers, &body).await
+                let from_start = earlier.restarts_stream(&shared.faults());
+                let target = (method, path, from_start);
+                let answer = handle_engine(&shared, engine, target, &head.headers, &body).await;
+                let answer = repeat_id(answer, &head.headers, &shared.faults());
+                let purpose = engine_purpose(path);
+                earlier.write(purpose, answer, &shared.faults()).await
             }
             Role::PlainService(service) => {
-                handle_service(&shared, service, (method, path), &head.headers, &body).await
+                let target = (method, path);
+                let answer = handle_service(&shared, service, target, &head.headers, &body).await?;
+                earlier.write(Purpose::Work, answer, &shared.faults()).await
             }
         },
     }
 }
 
-/// Answers a request to an engine.
+/// Returns what a request to an engine asks for.
+fn engine_purpose(path: &str) -> Purpose {
+    match path {
+        "/v1/chat/completions" => Purpose::Work,
+        "/v1/resume" => Purpose::Resume,
+        "/v1/cancel" => Purpose::Cancel,
+        _ => Purpose::Other,
+    }
+}
+
+/// Repeats the id of a request in the headers of its answer.
+fn repeat_id(
+    mut answer: Response<Body>,
+    headers: &HeaderMap<HeaderValue>,
+    faults: &Faults,
+) -> Response<Body> {
+    if let Some(id) = headers.get(REQUEST_ID_HEADER)
+        && !faults.unnamed
+    {
+        answer.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
+    }
+    answer
+}
+
+/// Answers a request to an engine. The target is method, path, and whether a resume begins at the
+/// first token.
 async fn handle_engine(
     shared: &Shared,
     engine: &Engine,
-    target: (&Method, &str),
+    (method, path, from_start): (&Method, &str, bool),
     headers: &HeaderMap,
     body: &Bytes,
-) -> Result<Response<Body>, Cut> {
-    match target {
+) -> Response<Body> {
+    match (method, path) {
         (&Method::POST, "/v1/chat/completions") => {
             shared.check_request(body).await;
-            let id = header(headers, "x-request-id").map(Arc::from);
-            Ok(engine.chat(id, body, &shared.faults).await)
+            let id = header(headers, REQUEST_ID_HEADER).map(Arc::from);
+            engine.chat(id, body, &shared.faults).await
         }
-        (&Method::POST, "/v1/resume") => Ok(engine.resume(body)),
-        (&Method::POST, "/v1/cancel") => Ok(engine.cancel(body)),
-        (&Method::POST, "/v1/order") => Ok(engine.order(body, shared.faults().unfenced)),
-        (&Method::GET, "/v1/loaded") => Ok(engine.loaded()),
-        _ => Ok(error(StatusCode::NOT_FOUND, "unknown_path")),
+        (&Method::POST, "/v1/resume") => engine.resume(body, from_start),
+        (&Method::POST, "/v1/cancel") => engine.cancel(body),
+        (&Method::POST, "/v1/order") => engine.order(body, shared.faults().unfenced),
+        (&Method::GET, "/v1/loaded") => engine.loaded(),
+        _ => error(StatusCode::NOT_FOUND, "unknown_path"),
     }
 }
 
@@ -264,6 +307,7 @@
     let answer = match target {
         (&Method::POST, "/reserve" | "/confirm") => service.reserve(key, body),
         (&Method::POST, "/release") => service.release(key, body),
+        (&Method::POST, "/lookup") => service.lookup(key, body),
         _ => error(StatusCode::NOT_FOUND, "unknown_path"),
     };
     if faults.die {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -87,6 +87,11 @@
         self.change(key, body, |taken, _| taken.checked_sub(1))
     }
 
+    /// `POST /lookup`: reports the numbers of an item and changes nothing.
+    pub fn lookup(&self, key: Option<&str>, body: &[u8]) -> Response<Body> {
+        self.change(key, body, |taken, _| Some(taken))
+    }
+
     /// `GET /stock`: lists how many are left of each item that the settings list or that was
     /// reserved.
     pub fn stock(&self) -> Response<Body> {
