Believe the refusal of a chat only if it is tied to the chat

Symptom: an engine wrote an earlier 503 once more on a kept connection and ran the chat. The caller was told "not_run", the reservation was released without its tokens, and another engine would have run the chat again. Cause: any status but 200 ended the attempt as not run, whichever request it answered; the HTTP client does not tell whether a connection was used before. Change: the client's connections count their answers. A refusal ends an attempt as not run only with a `NotRun`, which an answer gives if it repeats the request's id or is the first over its connection. Any other answer is logged with the id; the attempt has an unknown outcome, is cancelled and its reservation held, and it tells nothing of the upstream. A connection whose answer repeats no id is not used for another chat, so engines that repeat none cost a connection a chat and no "unknown". Probes have connections of their own: over a kept one, an engine without ids would have its first refusal untied, and an earlier announcement could be taken for the present one.

--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -358,7 +358,8 @@
             headers: HeaderMap::new(),
             body: Default::default(),
         };
-        let response = self.client.send(call, PROBE_TIMEOUT).await.ok()?;
+        // Over a kept connection, the answer could be that to an earlier probe.
+        let response = self.client.send_once(call, PROBE_TIMEOUT).await.ok()?;
         if response.status() != StatusCode::OK {
             return None;
         }
--- a/crates/fleet/src/edges/http/client.rs
+++ b/crates/fleet/src/edges/http/client.rs
@@ -17,6 +17,8 @@
 use hyper_util::rt::TokioTimer;
 use thiserror::Error;
 
+use crate::edges::http::counted::CountingConnector;
+use crate::edges::http::counted::PendingAnswer;
 use crate::edges::http::interim::limit_interim;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -62,9 +64,9 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     /// Reuses connections, and resends a request whose connection closed before it was sent.
-    pooled: Client<HttpConnector, Full<Bytes>>,
+    pooled: Client<CountingConnector, Full<Bytes>>,
     /// Opens a connection for each request and never resends one.
-    unpooled: Client<HttpConnector, Full<Bytes>>,
+    unpooled: Client<CountingConnector, Full<Bytes>>,
 }
 
 impl HttpClient {
@@ -115,7 +117,7 @@
 
 /// Builds a client that keeps at most `max_idle` idle connections to one address. With 0 it never
 /// resends a request.
-fn build_client(max_idle: usize) -> Client<HttpConnector, Full<Bytes>> {
+fn build_client(max_idle: usize) -> Client<CountingConnector, Full<Bytes>> {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
@@ -125,15 +127,16 @@
         .pool_max_idle_per_host(max_idle)
         .retry_canceled_requests(max_idle > 0)
         .http1_max_buf_size(MAX_BUFFER_BYTES)
-        .build(connector)
+        .build(CountingConnector(connector))
 }
 
 async fn exchange(
-    client: &Client<HttpConnector, Full<Bytes>>,
+    client: &Client<CountingConnector, Full<Bytes>>,
     call: Call,
     timeout: Duration,
 ) -> Result<Response<Incoming>, SendError> {
     let mut request = build_request(call)?;
+    let pending = PendingAnswer::of(&mut request);
     let too_many = limit_interim(&mut request);
     let sending = tokio::time::timeout(timeout, client.request(request));
     let sent = tokio::select! {
@@ -142,7 +145,10 @@
         sent = sending => sent,
     };
     match sent {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(mut response)) => {
+            pending.complete(&mut response);
+            Ok(response)
+        }
         Ok(Err(error)) if error.is_connect() => Err(SendError::Unreachable),
         Ok(Err(_)) => Err(SendError::Broken),
         Err(_) => Err(SendError::TimedOut),
--- a/crates/fleet/src/edges/http/mod.rs
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -1,15 +1,17 @@
 //! HTTP server and clients.
 //!
 //! [`server`] accepts connections from callers, [`client`] and [`pool`] connect to upstreams,
-//! [`body`] holds the bodies of responses, [`read`] reads the bodies of requests and [`answer`] those
-//! of upstreams' answers, of which it decides whether they are complete. All of them bound bytes and
-//! time. [`not_run`] is the evidence that an upstream did not run a request. [`framing`] tells how the end of a body is marked, and [`events`] splits a body of
-//! server-sent events.
+//! [`counted`] counts the answers over a connection of [`client`], [`body`] holds the bodies of
+//! responses, [`read`] reads the bodies of requests and [`answer`] those of upstreams' answers, of
+//! which it decides whether they are complete. All of them bound bytes and time. [`not_run`] is the
+//! evidence that an upstream did not run a request. [`framing`] tells how the end of a body is
+//! marked, and [`events`] splits a body of server-sent events.
 
 pub mod answer;
 pub mod body;
 pub mod caller;
 pub mod client;
+pub mod counted;
 pub mod events;
 pub mod framing;
 pub mod interim;
--- a/crates/fleet/src/filters/attempt.rs
+++ b/crates/fleet/src/filters/attempt.rs
@@ -17,8 +17,12 @@
 use crate::edges::http::AnswerBody;
 use crate::edges::http::AnswerFault;
 use crate::edges::http::HttpClient;
+use crate::edges::http::NotRun;
 use crate::edges::http::SendError;
+use crate::edges::http::Tie;
 use crate::edges::http::client::Call;
+use crate::edges::http::counted;
+use crate::edges::http::counted::REQUEST_ID_HEADER;
 use crate::edges::http::events;
 use crate::edges::http::events::EventTooLong;
 use crate::filters::sse;
@@ -26,9 +30,6 @@
 use crate::filters::sse::StreamError;
 use crate::filters::sse::Usage;
 
-/// Header with the id of an attempt. The upstream repeats the id in each event of its answer.
-pub const REQUEST_ID_HEADER: &str = "x-request-id";
-
 /// Most delivered text that is kept for comparison with a later attempt.
 const MAX_COMPARED_BYTES: usize = 4 << 20;
 /// Most bytes of events that are held until the bill is stored.
@@ -42,9 +43,12 @@
     /// The upstream gave no answer.
     #[error(transparent)]
     Send(#[from] SendError),
-    /// The upstream answered with another status than 200.
+    /// The upstream answered this request with another status than 200.
     #[error("status {0}")]
-    Status(StatusCode),
+    Refused(StatusCode, NotRun),
+    /// An answer with this status is not tied to the request, which may run.
+    #[error("status {0} of an answer that is not tied to the request")]
+    Untied(StatusCode),
 }
 
 /// Why reading the event stream of an upstream failed.
@@ -126,8 +130,22 @@
             body,
         };
         let response = client.send(call, timeout).await?;
-        if response.status() != StatusCode::OK {
-            return Err(OpenError::Status(response.status()));
+        let status = response.status();
+        let tie = counted::tie(&response, Some(id));
+        if tie != Some(Tie::Id) {
+            // Without the id, no later answer could be tied to its request.
+            counted::retire(&response);
+        }
+        let Some(tie) = tie else {
+            log::warn!(
+                target: "upstream",
+                id, address:%, status = status.as_u16();
+                "answer is not tied to the request"
+            );
+            return Err(OpenError::Untied(status));
+        };
+        if status != StatusCode::OK {
+            return Err(OpenError::Refused(status, NotRun::from_answer(tie)));
         }
         let (head, incoming) = response.into_parts();
         Ok(Self {
--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -27,6 +27,7 @@
 use crate::controllers::admission::AdmissionPermit;
 use crate::controllers::admission::AdmissionRequest;
 use crate::controllers::bills::PendingBill;
+use crate::edges::http::NotRun;
 use crate::edges::http::SendError;
 use crate::filters::Chain;
 use crate::filters::attempt::DeliveredText;
@@ -372,35 +373,49 @@
     /// Settles an attempt whose stream did not open.
     fn open_failed(&mut self, open: OpenAttempt, error: &OpenError) -> AttemptError {
         match error {
-            OpenError::Send(SendError::Unreachable) => {
-                self.end_not_run(open, AttemptOutcome::Unreachable);
-                AttemptError::Retry(Refusal::Failed(self.execution))
-            }
-            OpenError::Send(SendError::Malformed(_)) => {
-                self.end_not_run(open, AttemptOutcome::Neutral);
-                AttemptError::Abort(Refusal::Failed(self.execution).into())
-            }
-            OpenError::Send(SendError::Broken) => self.end_unknown(open, AttemptOutcome::Broken),
-            OpenError::Send(SendError::TimedOut) => {
-                self.end_unknown(open, AttemptOutcome::TimedOut)
-            }
-            OpenError::Status(status) => self.status_refused(open, *status),
+            OpenError::Send(error) => self.send_failed(open, error),
+            OpenError::Refused(status, proof) => self.status_refused(open, *status, *proof),
+            OpenError::Untied(_) => self.end_unknown(open, AttemptOutcome::Neutral),
+        }
+    }
+
+    /// Settles an attempt without an answer.
+    fn send_failed(&mut self, open: OpenAttempt, error: &SendError) -> AttemptError {
+        let outcome = match error {
+            SendError::Unreachable => AttemptOutcome::Unreachable,
+            SendError::Broken => AttemptOutcome::Broken,
+            SendError::TimedOut => AttemptOutcome::TimedOut,
+            SendError::Malformed(_) => AttemptOutcome::Neutral,
+        };
+        let Some(proof) = NotRun::from_send(error) else {
+            return self.end_unknown(open, outcome);
+        };
+        self.end_not_run(open, outcome, proof);
+        let refusal = Refusal::Failed(self.execution);
+        match error {
+            SendError::Malformed(_) => AttemptError::Abort(refusal.into()),
+            _ => AttemptError::Retry(refusal),
         }
     }
 
     /// Settles an attempt that the upstream answered with another status than 200.
-    fn status_refused(&mut self, open: OpenAttempt, status: StatusCode) -> AttemptError {
+    fn status_refused(
+        &mut self,
+        open: OpenAttempt,
+        status: StatusCode,
+        proof: NotRun,
+    ) -> AttemptError {
         match status {
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-                self.end_not_run(open, AttemptOutcome::Overload);
+                self.end_not_run(open, AttemptOutcome::Overload, proof);
                 AttemptError::Retry(self.refusal_after_attempts(Refusal::Overloaded))
             }
             StatusCode::NOT_FOUND => {
-                self.end_not_run(open, AttemptOutcome::Neutral);
+                self.end_not_run(open, AttemptOutcome::Neutral, proof);
                 AttemptError::Retry(self.refusal_after_attempts(Refusal::NoUpstream))
             }
             status if status.is_client_error() => {
-                self.end_not_run(open, AttemptOutcome::Neutral);
+                self.end_not_run(open, AttemptOutcome::Neutral, proof);
                 AttemptError::Abort(
                     self.refusal_after_attempts(Refusal::Rejected(status.as_u16()))
                         .into(),
@@ -411,7 +426,7 @@
     }
 
     /// Ends an attempt that did not run, and releases its reservation.
-    fn end_not_run(&self, open: OpenAttempt, outcome: AttemptOutcome) {
+    fn end_not_run(&self, open: OpenAttempt, outcome: AttemptOutcome, _proof: NotRun) {
         self.chain.upstreams.end(open.pick.attempt, outcome);
         self.chain.allotment.release(open.reservation, Tokens::ZERO);
     }
