Believe the refusal of a call only as the first answer of its connection

Symptom: a worker wrote an earlier 503 once more on a kept connection and ran the call. The caller was told "not_run". Cause: a 429 or 503 over a kept connection counted as the refusal of the call that was sent last. Change: plain services get no id that they could repeat, so only the first answer over a connection proves that a call has not run. Any other 429 or 503 leaves the outcome unknown, is logged with the call's key and tells nothing of the worker; the call is tried again. A connection that carried a refusal is closed, so that it can't be written once more and the next refusal is a first answer. The evidence for each attempt that did not run is logged with the id, for chats as well. Cost: a real refusal over a connection that was used before is told as "unknown" if no other worker serves the call; once for each kept connection, as it is closed then.

--- a/crates/fleet/src/filters/call.rs
+++ b/crates/fleet/src/filters/call.rs
@@ -31,9 +31,11 @@
 use crate::controllers::admission::AdmissionRequest;
 use crate::controllers::config::ActiveConfig;
 use crate::controllers::lifecycle::InFlightGuard;
+use crate::edges::http::NotRun;
 use crate::edges::http::ReplyBody;
 use crate::edges::http::SendError;
 use crate::edges::http::client;
+use crate::edges::http::counted;
 use crate::edges::http::read_answer;
 use crate::filters::Chain;
 use crate::filters::chat::read_body;
@@ -353,6 +355,60 @@
     }
 }
 
+/// How an attempt at a repeatable call ended.
+enum CallAttempt {
+    /// The worker answered.
+    Answered(Answer),
+    /// It did not run. There is an answer if the worker refused it for overload.
+    NotRun(NotRun, Option<Answer>),
+    /// Whether it ran is not known.
+    Unknown,
+}
+
+/// Makes one attempt at a repeatable call.
+async fn attempt(chain: &Chain, call: &CheckedCall, pick: Pick) -> CallAttempt {
+    let request = upstream_request(call, &pick);
+    let sent = chain.client.send(request, chain.time_left(call)).await;
+    let (proof, answer) = match sent {
+        Ok(response) if is_overload(response.status()) => {
+            // No later answer over the connection could be tied, nor be this one once more.
+            counted::retire(&response);
+            let Some(tie) = counted::tie(&response, None) else {
+                let status = response.status().as_u16();
+                log::warn!(
+                    target: "upstream",
+                    id = call.identity.id.key.as_str(), address:% = pick.address, status;
+                    "answer is not tied to the request"
+                );
+                chain.upstreams.end(pick.attempt, AttemptOutcome::Neutral);
+                return CallAttempt::Unknown;
+            };
+            let answer = chain.read_answer(response, chain.time_left(call)).await;
+            (Some(NotRun::from_answer(tie)), answer)
+        }
+        Ok(response) => {
+            let answer = chain.read_answer(response, chain.time_left(call)).await;
+            (None, answer)
+        }
+        Err(error) => (NotRun::from_send(&error), Err(error)),
+    };
+    chain.upstreams.end(pick.attempt, attempt_outcome(&answer));
+    match (answer, proof) {
+        (Ok(answer), None) => CallAttempt::Answered(answer),
+        (Ok(answer), Some(proof)) => CallAttempt::NotRun(proof, Some(answer)),
+        (Err(SendError::Unreachable | SendError::Malformed(_)), Some(proof)) => {
+            CallAttempt::NotRun(proof, None)
+        }
+        (Err(_), _) => CallAttempt::Unknown,
+    }
+}
+
+/// Logs what proves that an attempt did not run.
+fn log_not_run(call: &CheckedCall, proof: NotRun) {
+    let id = call.identity.id.key.as_str();
+    log::info!(target: "upstream", id, evidence = proof.label(); "attempt did not run");
+}
+
 /// Runs a call that may be repeated, with retries on other workers.
 async fn run_repeatable(chain: &Chain, call: &CheckedCall) -> Result<Answer, Refusal> {
     let pass = chain.admit(call).await?;
@@ -366,24 +422,19 @@
             Err(refusal) => return Err(refusal),
         };
         tried.push(pick.upstream.clone());
-        let timeout = chain.time_left(call);
-        let sent = chain
-            .client
-            .send(upstream_request(call, &pick), timeout)
-            .await;
-        let answer = match sent {
-            Ok(response) => chain.read_answer(response, chain.time_left(call)).await,
-            Err(error) => Err(error),
-        };
-        chain.upstreams.end(pick.attempt, attempt_outcome(&answer));
-        match answer {
-            Ok(answer) if !is_overload(answer.status) => {
+        match attempt(chain, call, pick).await {
+            CallAttempt::Answered(answer) => {
                 pass.finish();
                 return Ok(answer);
             }
-            Ok(answer) if number >= MAX_ATTEMPTS => return Ok(answer),
-            Ok(_) | Err(SendError::Unreachable | SendError::Malformed(_)) => {}
-            Err(SendError::Broken | SendError::TimedOut) => execution = Execution::Unknown,
+            CallAttempt::NotRun(proof, refused) => {
+                log_not_run(call, proof);
+                let is_last = number >= MAX_ATTEMPTS;
+                if let Some(refused) = refused.filter(|_| is_last) {
+                    return Ok(refused);
+                }
+            }
+            CallAttempt::Unknown => execution = Execution::Unknown,
         }
         if chain.time_left(call).is_zero() {
             return Err(Refusal::Deadline(execution));
--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -426,7 +426,9 @@
     }
 
     /// Ends an attempt that did not run, and releases its reservation.
-    fn end_not_run(&self, open: OpenAttempt, outcome: AttemptOutcome, _proof: NotRun) {
+    fn end_not_run(&self, open: OpenAttempt, outcome: AttemptOutcome, proof: NotRun) {
+        let id = &*open.request_id;
+        log::info!(target: "upstream", id, evidence = proof.label(); "attempt did not run");
         self.chain.upstreams.end(open.pick.attempt, outcome);
         self.chain.allotment.release(open.reservation, Tokens::ZERO);
     }
