Do not pass on the refusal of a call of which an earlier attempt may have run

Symptom: a call ran at a worker whose connection then broke; the third worker's 503 was passed on as it was, which says that the call has not run. Cause: run_repeatable passed on the last refusal without a look at the attempts before it. Change: it is passed on only if no earlier attempt may have run; the caller gets 502 upstream_failed, "unknown" otherwise. Evidence: router_refusals, last_refusal_does_not_cover_an_earlier_attempt: failed on (a 503 without "ran"), passes.

--- a/crates/fleet/src/filters/call.rs
+++ b/crates/fleet/src/filters/call.rs
@@ -429,7 +429,8 @@
             }
             CallAttempt::NotRun(proof, refused) => {
                 log_not_run(call, proof);
-                let is_last = number >= MAX_ATTEMPTS;
+                // The refusal says nothing of an earlier attempt.
+                let is_last = number >= MAX_ATTEMPTS && execution == Execution::NotRun;
                 if let Some(refused) = refused.filter(|_| is_last) {
                     return Ok(refused);
                 }
