Send each cancel over a connection of its own

Symptom: tokens that abandoned chats used were not charged, or charged twice: 45 tokens counted as wasted where the engine had used 59. Cause: over a kept connection, an acknowledgement of an earlier cancel released the reservation of a later one with the count of the earlier. Change: a cancel has a connection of its own, carries the id of its attempt, and its acknowledgement counts only if it is tied to it. Evidence: router_refusals, cancel_is_not_acknowledged_by_an_earlier_acknowledgement: failed on (45 for 59), passes.

--- a/crates/fleet/src/controllers/abandoned.rs
+++ b/crates/fleet/src/controllers/abandoned.rs
@@ -32,6 +32,8 @@
 use crate::controllers::upstreams::Upstreams;
 use crate::edges::http::HttpClient;
 use crate::edges::http::client::Call;
+use crate::edges::http::counted;
+use crate::edges::http::counted::REQUEST_ID_HEADER;
 use crate::edges::http::read_answer;
 use crate::metrics::Metrics;
 use crate::timer::Timer;
@@ -223,10 +225,12 @@
             address: attempt.address,
             method: Method::POST,
             path: "/v1/cancel".to_owned(),
-            headers: json_headers(),
+            headers: headers(&attempt.id)?,
             body: Bytes::from(body.ok()?),
         };
-        let response = self.client.send(call, CANCEL_TIMEOUT).await.ok()?;
+        // Over a kept connection, the answer could be that to another cancel.
+        let response = self.client.send_once(call, CANCEL_TIMEOUT).await.ok()?;
+        counted::tie(&response, Some(&attempt.id))?;
         if response.status() != StatusCode::OK {
             return None;
         }
@@ -237,11 +241,12 @@
     }
 }
 
-fn json_headers() -> HeaderMap {
+fn headers(id: &str) -> Option<HeaderMap> {
     let mut headers = HeaderMap::new();
     let json = HeaderValue::from_static("application/json");
     headers.insert(header::CONTENT_TYPE, json);
-    headers
+    headers.insert(REQUEST_ID_HEADER, HeaderValue::from_str(id).ok()?);
+    Some(headers)
 }
 
 /// Body of a cancel.
