Resume a stream over a connection of its own

Symptom: a caller got the text of a stream twice, and the answer looked complete. Cause: a stream that ended early left its connection open; the resume went over it, and the stream written once more from its first token has the same id in all events, so it was taken for the rest. Change: a resume has a connection of its own.

--- a/crates/fleet/src/filters/attempt.rs
+++ b/crates/fleet/src/filters/attempt.rs
@@ -9,8 +9,10 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
+use http::Response;
 use http::StatusCode;
 use http::header;
+use hyper::body::Incoming;
 use serde::Serialize;
 use thiserror::Error;
 
@@ -90,7 +92,8 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<Self, OpenError> {
-        Self::request(client, address, "/v1/chat/completions", id, body, timeout).await
+        let call = call(address, "/v1/chat/completions", id, body)?;
+        Self::read_head(client.send(call, timeout).await?, address, id)
     }
 
     /// Requests the rest of an interrupted stream, from the token with number `offset`.
@@ -111,25 +114,18 @@
         };
         // A string and a number always serialise; an empty body would be refused by the upstream.
         let body = serde_json::to_vec(&request).unwrap_or_default();
-        Self::request(client, address, "/v1/resume", id, body.into(), timeout).await
+        let call = call(address, "/v1/resume", id, body.into())?;
+        // Over a kept connection, the answer could be the stream from its first token, which has
+        // the same id.
+        Self::read_head(client.send_once(call, timeout).await?, address, id)
     }
 
-    async fn request(
-        client: &HttpClient,
+    /// Checks what the head of an answer to the attempt with this id says.
+    fn read_head(
+        response: Response<Incoming>,
         address: SocketAddr,
-        path: &str,
         id: &str,
-        body: Bytes,
-        timeout: Duration,
     ) -> Result<Self, OpenError> {
-        let call = Call {
-            address,
-            method: Method::POST,
-            path: path.to_owned(),
-            headers: headers(id)?,
-            body,
-        };
-        let response = client.send(call, timeout).await?;
         let status = response.status();
         let tie = counted::tie(&response, Some(id));
         if tie != Some(Tie::Id) {
@@ -184,6 +180,16 @@
     offset: u64,
 }
 
+fn call(address: SocketAddr, path: &str, id: &str, body: Bytes) -> Result<Call, SendError> {
+    Ok(Call {
+        address,
+        method: Method::POST,
+        path: path.to_owned(),
+        headers: headers(id)?,
+        body,
+    })
+}
+
 fn headers(id: &str) -> Result<HeaderMap, SendError> {
     let value = HeaderValue::from_str(id).map_err(http::Error::from)?;
     let mut headers = HeaderMap::new();
