Take only statuses that come before a run for the refusal of a chat

Symptom: an engine ran a chat and answered 409; the caller was told "not_run" and the reservation was released without its tokens. Cause: any status of 400 to 499 counted as a refusal, also those that end a run, such as 408 and 409. Change: a closed list of statuses with which an engine rejects the request itself. The outcome of an attempt with any other is unknown; it is cancelled, and the chat is tried again. Evidence: router_refusals, status_of_a_chat_that_ran_is_no_refusal: failed on (502 upstream_rejected, "not_run"), passes.

--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -414,13 +414,14 @@
                 self.end_not_run(open, AttemptOutcome::Neutral, proof);
                 AttemptError::Retry(self.refusal_after_attempts(Refusal::NoUpstream))
             }
-            status if status.is_client_error() => {
+            status if is_rejection(status) => {
                 self.end_not_run(open, AttemptOutcome::Neutral, proof);
                 AttemptError::Abort(
                     self.refusal_after_attempts(Refusal::Rejected(status.as_u16()))
                         .into(),
                 )
             }
+            status if status.is_client_error() => self.end_unknown(open, AttemptOutcome::Neutral),
             _ => self.end_unknown(open, AttemptOutcome::Broken),
         }
     }
@@ -516,3 +517,25 @@
         Duration::from_millis(left.0)
     }
 }
+
+/// Returns whether an upstream answers a request with this status only before it runs it. Others,
+/// such as 408 and 409, also end a run.
+fn is_rejection(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::BAD_REQUEST
+            | StatusCode::UNAUTHORIZED
+            | StatusCode::PAYMENT_REQUIRED
+            | StatusCode::FORBIDDEN
+            | StatusCode::METHOD_NOT_ALLOWED
+            | StatusCode::NOT_ACCEPTABLE
+            | StatusCode::LENGTH_REQUIRED
+            | StatusCode::PAYLOAD_TOO_LARGE
+            | StatusCode::URI_TOO_LONG
+            | StatusCode::UNSUPPORTED_MEDIA_TYPE
+            | StatusCode::EXPECTATION_FAILED
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::UNPROCESSABLE_ENTITY
+            | StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
+    )
+}
