Conclude a claimed call as not run only with evidence, and log it

Read in hyper-util 0.1.21: ErrorKind::Connect is made only by the connector and the checkout of the pool, before try_send_request; a failed handshake and a request that the connection gave back are other kinds and count as broken. With retry_canceled_requests off nothing is sent twice. The decision is now NotRun::from_send, and each attempt that did not run is logged with its key. A request that could not be built may now be offered to another worker too; nothing of it is sent.

--- a/crates/fleet/src/filters/call.rs
+++ b/crates/fleet/src/filters/call.rs
@@ -404,7 +404,7 @@
 }
 
 /// Logs what proves that an attempt did not run.
-fn log_not_run(call: &CheckedCall, proof: NotRun) {
+pub fn log_not_run(call: &CheckedCall, proof: NotRun) {
     let id = call.identity.id.key.as_str();
     log::info!(target: "upstream", id, evidence = proof.label(); "attempt did not run");
 }
--- a/crates/fleet/src/filters/claim.rs
+++ b/crates/fleet/src/filters/claim.rs
@@ -22,12 +22,14 @@
 use tokio::sync::oneshot;
 
 use crate::controllers::admission::AdmissionPermit;
+use crate::edges::http::NotRun;
 use crate::edges::http::SendError;
 use crate::edges::rpc::ControlClient;
 use crate::filters::Chain;
 use crate::filters::call::Answer;
 use crate::filters::call::CheckedCall;
 use crate::filters::call::attempt_outcome;
+use crate::filters::call::log_not_run;
 use crate::filters::call::upstream_request;
 use crate::filters::refusal::Execution;
 use crate::filters::refusal::Refusal;
@@ -70,12 +72,10 @@
     let outcome = send(chain, call, pick).await;
     let (end, outcome) = match outcome {
         Ok(answer) => (CallEnd::Answered(to_record(chain, &answer)), Ok(answer)),
-        Err(SendError::Unreachable | SendError::Malformed(_)) => {
-            (CallEnd::NotRun, Err(Refusal::Failed(Execution::NotRun)))
-        }
-        Err(SendError::Broken | SendError::TimedOut) => {
-            (CallEnd::Unknown, Err(Refusal::OutcomeUnknown))
-        }
+        Err(error) => match NotRun::from_send(&error) {
+            Some(_) => (CallEnd::NotRun, Err(Refusal::Failed(Execution::NotRun))),
+            None => (CallEnd::Unknown, Err(Refusal::OutcomeUnknown)),
+        },
     };
     chain.metrics.claims.add(match &end {
         CallEnd::NotRun => "not_run",
@@ -156,8 +156,12 @@
             Err(error) => Err(error),
         };
         chain.upstreams.end(pick.attempt, attempt_outcome(&outcome));
-        let not_sent = matches!(outcome, Err(SendError::Unreachable));
-        if !not_sent || tried.len() >= MAX_WORKERS || chain.time_left(call).is_zero() {
+        let proof = outcome.as_ref().err().and_then(NotRun::from_send);
+        let Some(proof) = proof else {
+            return outcome;
+        };
+        log_not_run(call, proof);
+        if tried.len() >= MAX_WORKERS || chain.time_left(call).is_zero() {
             return outcome;
         }
         match chain.pick_worker(call, &tried, Execution::NotRun).await {
