--- a/crates/fleet/src/filters/attempt.rs
+++ b/crates/fleet/src/filters/attempt.rs
@@ -9,16 +9,22 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
+use http::Response;
 use http::StatusCode;
 use http::header;
+use hyper::body::Incoming;
 use serde::Serialize;
 use thiserror::Error;
 
 use crate::edges::http::AnswerBody;
 use crate::edges::http::AnswerFault;
 use crate::edges::http::HttpClient;
+use crate::edges::http::NotRun;
 use crate::edges::http::SendError;
+use crate::edges::http::Tie;
 use crate::edges::http::client::Call;
+use crate::edges::http::counted;
+use crate::edges::http::counted::REQUEST_ID_HEADER;
 use crate::edges::http::events;
 use crate::edges::http::events::EventTooLong;
 use crate::filters::sse;
@@ -26,9 +32,6 @@
 use crate::filters::sse::StreamError;
 use crate::filters::sse::Usage;
 
-/// Header with the id of an attempt. The upstream repeats the id in each event of its answer.
-pub const REQUEST_ID_HEADER: &str = "x-request-id";
-
 /// Most delivered text that is kept for comparison with a later attempt.
 const MAX_COMPARED_BYTES: usize = 4 << 20;
 /// Most bytes of events that are held until the bill is stored.
@@ -42,9 +45,12 @@
     /// The upstream gave no answer.
     #[error(transparent)]
     Send(#[from] SendError),
-    /// The upstream answered with another status than 200.
+    /// The upstream answered this request with another status than 200.
     #[error("status {0}")]
-    Status(StatusCode),
+    Refused(StatusCode, NotRun),
+    /// An answer with this status is not tied to the request, which may run.
+    #[error("status {0} of an answer that is not tied to the request")]
+    Untied(StatusCode),
 }
 
 /// Why reading the event stream of an upstream failed.
@@ -86,7 +92,8 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<Self, OpenError> {
-        Self::request(client, address, "/v1/chat/completions", id, body, timeout).await
+        let call = call(address, "/v1/chat/completions", id, body)?;
+        Self::read_head(client.send(call, timeout).await?, address, id)
     }
 
     /// Requests the rest of an interrupted stream, from the token with number `offset`.
@@ -107,27 +114,34 @@
         };
         // A string and a number always serialise; an empty body would be refused by the upstream.
         let body = serde_json::to_vec(&request).unwrap_or_default();
-        Self::request(client, address, "/v1/resume", id, body.into(), timeout).await
+        let call = call(address, "/v1/resume", id, body.into())?;
+        // Over a kept connection, the answer could be the stream from its first token, which has
+        // the same id.
+        Self::read_head(client.send_once(call, timeout).await?, address, id)
     }
 
-    async fn request(
-        client: &HttpClient,
+    /// Checks what the head of an answer to the attempt with this id says.
+    fn read_head(
+        response: Response<Incoming>,
         address: SocketAddr,
-        path: &str,
         id: &str,
-        body: Bytes,
-        timeout: Duration,
     ) -> Result<Self, OpenError> {
-        let call = Call {
-            address,
-            method: Method::POST,
-            path: path.to_owned(),
-            headers: headers(id)?,
-            body,
+        let status = response.status();
+        let tie = counted::tie(&response, Some(id));
+        if tie != Some(Tie::Id) {
+            // Without the id, no later answer could be tied to its request.
+            counted::retire(&response);
+        }
+        let Some(tie) = tie else {
+            log::warn!(
+                target: "upstream",
+                id, address:%, status = status.as_u16();
+                "answer is not tied to the request"
+            );
+            return Err(OpenError::Untied(status));
         };
-        let response = client.send(call, timeout).await?;
-        if response.status() != StatusCode::OK {
-            return Err(OpenError::Status(response.status()));
+        if status != StatusCode::OK {
+            return Err(OpenError::Refused(status, NotRun::from_answer(tie)));
         }
         let (head, incoming) = response.into_parts();
         Ok(Self {
@@ -166,6 +180,16 @@
     offset: u64,
 }
 
+fn call(address: SocketAddr, path: &str, id: &str, body: Bytes) -> Result<Call, SendError> {
+    Ok(Call {
+        address,
+        method: Method::POST,
+        path: path.to_owned(),
+        headers: headers(id)?,
+        body,
+    })
+}
+
 fn headers(id: &str) -> Result<HeaderMap, SendError> {
     let value = HeaderValue::from_str(id).map_err(http::Error::from)?;
     let mut headers = HeaderMap::new();
