Refuse announcements that no upstream can have sent

Symptom: one odd entry among those of the upstreams was taken and passed on to all nodes. A sequence number or a start of u64::MAX shut the upstream's own heartbeats out; a name that is no header value is sent without the header that ties a request to its upstream; names of 20 kB make gossip packets that no node can receive. Cause: heartbeats, announcements, answers to probes and gossip were checked for their types only. Mended: Announcement::check, one rule for all entrances, with typed errors. The two calls answer 400. Table::observe ignores such an announcement of gossip, a relay or a probe; they are counted (result "odd").

Deep nesting, numbers out of range, fractions, invalid UTF-8 and fields given twice were refused before (400), and unknown fields ignored.

--- a/crates/core/src/upstream/announce.rs
+++ b/crates/core/src/upstream/announce.rs
@@ -3,10 +3,14 @@
 //! They are soft state: they keep a router's view of its upstreams fresh, and are never the
 //! authority for anything that has to be exact.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
+use thiserror::Error;
 
 use crate::id::DataCentre;
 use crate::id::Model;
@@ -14,6 +18,41 @@
 use crate::id::Upstream;
 use crate::unit::Incarnation;
 
+/// Longest name in an announcement, in bytes, so that the announcements of a gossip packet fit in a
+/// datagram.
+pub const MAX_NAME_BYTES: usize = 128;
+
+/// Most slots of an upstream. Announcements with more would attract all requests.
+pub const MAX_SLOTS: u32 = 65_536;
+
+/// Highest incarnation and sequence number. Higher ones are not exact in every JSON implementation.
+pub const MAX_NUMBER: u64 = (1 << 53) - 1;
+
+/// Why an announcement is refused.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum AnnouncementError {
+    /// The name of the upstream is empty, too long or no valid header value.
+    #[error("the name of an upstream has to be 1 to {MAX_NAME_BYTES} visible ASCII characters")]
+    Upstream,
+    /// Another name is empty, too long or has control characters.
+    #[error("{0} has to be 1 to {MAX_NAME_BYTES} bytes without control characters")]
+    Name(&'static str),
+    /// The address or its port is one that no upstream can have.
+    #[error("{0} is no address of an upstream")]
+    Address(SocketAddr),
+    /// There are no slots, or too many.
+    #[error("{0} slots are not 1 to {MAX_SLOTS}")]
+    Slots(u32),
+    /// The incarnation or the sequence number is too high.
+    #[error("{name} {value} is above {MAX_NUMBER}")]
+    Number {
+        /// Name of the field.
+        name: &'static str,
+        /// Its value.
+        value: u64,
+    },
+}
+
 /// State that an upstream reports of itself, posted as JSON to any entry host.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -48,6 +87,61 @@
     pub evicted: Vec<u64>,
 }
 
+impl Announcement {
+    /// Checks that an upstream can have sent this.
+    ///
+    /// Each entrance of announcements checks them: an odd one, passed on by gossip, would harm
+    /// others.
+    ///
+    /// # Errors
+    ///
+    /// See [`AnnouncementError`].
+    pub fn check(&self) -> Result<(), AnnouncementError> {
+        let id = self.upstream.as_str();
+        if !has_name_length(id) || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(AnnouncementError::Upstream);
+        }
+        check_name("the data centre", self.centre.as_str())?;
+        match &self.offer {
+            Offer::Service(service) => check_name("the service", service.as_str())?,
+            Offer::Models(models) => models.iter().try_for_each(Loaded::check)?,
+        }
+        if !is_unicast(self.address) {
+            return Err(AnnouncementError::Address(self.address));
+        }
+        if !(1..=MAX_SLOTS).contains(&self.slots) {
+            return Err(AnnouncementError::Slots(self.slots));
+        }
+        check_number("incarnation", self.incarnation.0)?;
+        check_number("sequence number", self.seq)
+    }
+}
+
+/// Returns whether an upstream can serve requests on an address.
+fn is_unicast(address: SocketAddr) -> bool {
+    let ip = address.ip().to_canonical();
+    let is_broadcast = ip == IpAddr::V4(Ipv4Addr::BROADCAST);
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
+
+fn has_name_length(name: &str) -> bool {
+    (1..=MAX_NAME_BYTES).contains(&name.len())
+}
+
+fn check_name(field: &'static str, name: &str) -> Result<(), AnnouncementError> {
+    match has_name_length(name) && !name.chars().any(char::is_control) {
+        true => Ok(()),
+        false => Err(AnnouncementError::Name(field)),
+    }
+}
+
+fn check_number(name: &'static str, value: u64) -> Result<(), AnnouncementError> {
+    match value <= MAX_NUMBER {
+        true => Ok(()),
+        false => Err(AnnouncementError::Number { name, value }),
+    }
+}
+
 /// Whether an upstream accepts new requests.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -83,6 +177,16 @@
     pub version: u32,
 }
 
+impl Loaded {
+    fn check(&self) -> Result<(), AnnouncementError> {
+        check_name("a model", self.model.as_str())?;
+        match &self.adapter {
+            Some(adapter) => check_name("an adapter", adapter),
+            None => Ok(()),
+        }
+    }
+}
+
 /// Load as the upstream reported it; lags behind the actual load.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -22,6 +22,7 @@
 pub mod version;
 
 pub use announce::Announcement;
+pub use announce::AnnouncementError;
 pub use announce::Kind;
 pub use announce::Load;
 pub use announce::Offer;
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -264,8 +264,11 @@
     }
 
     /// Applies an announcement. Returns whether it changed the table and has to be passed on to
-    /// other routers.
+    /// other routers. One that no upstream can have sent is ignored.
     pub fn observe(&mut self, now: Millis, mut announcement: Announcement) -> bool {
+        if announcement.check().is_err() {
+            return false;
+        }
         announcement.cached.truncate(MAX_CACHE_EVENTS);
         announcement.evicted.truncate(MAX_CACHE_EVENTS);
         let upstream = announcement.upstream.clone();
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -64,7 +64,7 @@
 /// What an announcement changed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnnouncementChange {
-    /// Nothing: it is no newer than the known one.
+    /// Nothing: it is no newer than the known one, or no upstream can have sent it.
     Stale,
     /// Only load or cache contents.
     Load,
@@ -131,8 +131,14 @@
         }
     }
 
-    /// Applies an announcement. Returns what it changed.
+    /// Applies an announcement. Returns what it changed. One that no upstream can have sent, which
+    /// nodes of earlier versions pass on, is ignored.
     pub fn observe(&self, announcement: Announcement) -> AnnouncementChange {
+        if let Err(error) = announcement.check() {
+            self.metrics.announcements.add("odd");
+            log::debug!(error:% = error; "odd announcement ignored");
+            return AnnouncementChange::Stale;
+        }
         let mut table = self.table();
         let known = table
             .announcements()
@@ -363,7 +369,14 @@
         }
         let read = read_answer(response, MAX_ANNOUNCEMENT_BYTES, PROBE_TIMEOUT).await;
         let (_, body) = read.ok()?;
-        serde_json::from_slice(&body).ok()
+        let announcement: Announcement = serde_json::from_slice(&body).ok()?;
+        match announcement.check() {
+            Ok(()) => Some(announcement),
+            Err(error) => {
+                log::warn!(upstream:% = probe.upstream, error:% = error; "odd answer to a probe");
+                None
+            }
+        }
     }
 
     /// Advances the time of the table. Returns the probes that are due.
--- a/crates/fleet/src/dialect.rs
+++ b/crates/fleet/src/dialect.rs
@@ -17,6 +17,7 @@
 use chestnutnotch_core::unit::RequestRate;
 use chestnutnotch_core::unit::Tokens;
 use chestnutnotch_core::upstream::Announcement;
+use chestnutnotch_core::upstream::AnnouncementError;
 use chestnutnotch_core::upstream::Load;
 use http::HeaderMap;
 use http::Method;
@@ -86,6 +87,9 @@
     /// The routes are inconsistent.
     #[error(transparent)]
     Invalid(#[from] PlanError),
+    /// No upstream can have sent the heartbeat.
+    #[error(transparent)]
+    Announcement(#[from] AnnouncementError),
 }
 
 /// A header, given by its name, that can't be parsed.
--- a/crates/fleet/src/filters/refusal.rs
+++ b/crates/fleet/src/filters/refusal.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use chestnutnotch_core::id::Model;
 use chestnutnotch_core::id::Service;
+use chestnutnotch_core::upstream::AnnouncementError;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -54,6 +55,9 @@
     /// An announcement is not JSON of the expected form.
     #[error("the body is not an announcement in JSON")]
     Announcement,
+    /// No upstream can have sent the announcement.
+    #[error(transparent)]
+    InvalidAnnouncement(#[from] AnnouncementError),
 }
 
 /// Why a request is refused.
--- a/crates/fleet/src/filters/route.rs
+++ b/crates/fleet/src/filters/route.rs
@@ -132,6 +132,7 @@
         })?;
         let announcement: Announcement =
             serde_json::from_slice(&body).map_err(|_| Malformed::Announcement)?;
+        announcement.check().map_err(Malformed::from)?;
         if self.spread.observe_direct(announcement) == AnnouncementChange::Availability {
             self.gate.refresh();
         }
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -14,6 +14,7 @@
 use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::upstream::Announcement;
 use chestnutnotch_core::upstream::Phase;
+use chestnutnotch_core::upstream::announce::MAX_NUMBER;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -113,6 +114,7 @@
             Operation::Heartbeat(upstream) => {
                 let body = read_body(body, MAX_ANNOUNCEMENT_BYTES).await?;
                 let announcement = self.dialect.decode_heartbeat(upstream, &body)?;
+                announcement.check().map_err(DocumentError::from)?;
                 self.nodes.announce(announcement);
                 Ok(EMPTY_JSON)
             }
@@ -151,7 +153,7 @@
         }
         self.nodes.announce(Announcement {
             phase: Phase::Leaving,
-            seq: known.seq + 1,
+            seq: known.seq.saturating_add(1).min(MAX_NUMBER),
             ..known
         });
     }
