Do not resend announcements that are about to be removed

Symptom: an upstream that fell silent never left the tables, and an entry with higher numbers than the upstream's own heartbeats, once taken, shut it out for ever. Cause: nodes remove a silent upstream after ten minutes, each by its own clock and the time at which it heard of it. The first one to remove it got it back from the next by anti-entropy, as new and heard of now, and passed it on as urgent. Mended: gossip resends only what was renewed in the last half of that time, so that no node resends what another has removed.

Core odd_gossip, 12 nodes, without the limit: silent_upstream_is_removed_everywhere and highest_numbers_shut_an_upstream_out_for_a_while_only failed, all 12 nodes had the old entry after twice the time. With it both pass, and all of roster.

--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -783,6 +783,17 @@
         (self.revision, changed)
     }
 
+    /// Returns the announcements that gossip resends to nodes that missed them.
+    ///
+    /// Those not renewed for half of [`TableConfig::forget_after`] are left out. Otherwise a node
+    /// that has removed an upstream would get it back from one that removes it later, for ever.
+    pub fn resent_announcements(&self, now: Millis) -> impl Iterator<Item = &Announcement> {
+        let lifetime = Millis(self.config.forget_after.0 / 2);
+        let rows = self.rows.values();
+        rows.filter(move |row| now < row.heard_at + lifetime)
+            .map(|row| &row.announcement)
+    }
+
     /// Returns the latest announcement of each upstream.
     pub fn announcements(&self) -> impl Iterator<Item = &Announcement> {
         self.rows.values().map(|row| &row.announcement)
--- /dev/null
+++ b/crates/core/tests/odd_gossip.rs
@@ -0,0 +1,216 @@
+//! Odd facts that gossip brings, and old ones, have no lasting effect on others.
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+
+use chestnutnotch_core::roster::Fact;
+use chestnutnotch_core::roster::NodeFact;
+use chestnutnotch_core::roster::Packet;
+use chestnutnotch_core::roster::Role;
+use chestnutnotch_core::roster::Roster;
+use chestnutnotch_core::roster::RosterSettings;
+use chestnutnotch_core::roster::Urgency;
+use chestnutnotch_core::unit::Incarnation;
+use chestnutnotch_core::unit::Millis;
+use chestnutnotch_core::upstream::Announcement;
+use chestnutnotch_core::upstream::Load;
+use chestnutnotch_core::upstream::Offer;
+use chestnutnotch_core::upstream::Phase;
+use chestnutnotch_core::upstream::Table;
+use chestnutnotch_core::upstream::TableConfig;
+use chestnutnotch_core::upstream::announce::MAX_NUMBER;
+
+/// Time between two gossip ticks of a node.
+const TICK_MILLIS: u64 = 150;
+/// Time after which the nodes of the tests remove silent upstreams.
+const FORGET_AFTER: Millis = Millis(12_000);
+const NODES: usize = 12;
+
+fn node_address(number: usize) -> SocketAddr {
+    format!("10.0.0.{}:7000", number + 1).parse().unwrap()
+}
+
+fn state(number: usize, start: u64, beat: u64) -> NodeFact {
+    NodeFact {
+        host: format!("host-{number}").into(),
+        role: Role::Router,
+        centre: "a".into(),
+        address: node_address(number),
+        rpc: node_address(number),
+        start,
+        beat,
+        leaving: false,
+        plan: 0,
+    }
+}
+
+fn announcement(name: &str, seq: u64) -> Announcement {
+    Announcement {
+        upstream: name.into(),
+        incarnation: Incarnation(1_000),
+        seq,
+        address: ([10, 1, 0, 1], 9_000).into(),
+        centre: "a".into(),
+        phase: Phase::Ready,
+        offer: Offer::Service("app".into()),
+        slots: 8,
+        load: Load::default(),
+        fences: false,
+        cached: Vec::new(),
+        evicted: Vec::new(),
+    }
+}
+
+/// A node with what it knows of nodes and upstreams.
+struct Node {
+    roster: Roster,
+    table: Table,
+}
+
+impl Node {
+    fn new(number: usize) -> Self {
+        let config = TableConfig {
+            heartbeat_only: true,
+            forget_after: FORGET_AFTER,
+            ..TableConfig::default()
+        };
+        let seeds = vec![node_address(0)];
+        let settings = RosterSettings::default();
+        Self {
+            roster: Roster::new(state(number, 1, 0), seeds, settings, number as u64),
+            table: Table::with_config("a".into(), config, number as u64),
+        }
+    }
+
+    /// Applies an announcement, and passes it on if it is new.
+    fn announce(&mut self, now: Millis, announcement: Announcement) {
+        if self.table.observe(now, announcement.clone()) {
+            let fact = Fact::Upstream(Box::new(announcement));
+            self.roster.enqueue(fact, Urgency::Refresh);
+        }
+    }
+
+    /// Applies a packet; returns the packets that answer it.
+    fn receive(&mut self, now: Millis, from: SocketAddr, packet: Packet) -> Packets {
+        self.roster.record_packet(now);
+        for fact in packet.facts {
+            match fact {
+                Fact::Node(fact) => {
+                    self.roster.merge(now, fact);
+                }
+                Fact::Upstream(announcement) => self.announce(now, *announcement),
+                Fact::Evidence(evidence) => {
+                    self.table.observe_evidence(now, &evidence);
+                }
+                Fact::Proof(proof) => {
+                    self.table.observe_proof(now, &proof);
+                }
+                fact @ Fact::Crash { .. } => self.roster.enqueue(fact, Urgency::Urgent),
+                Fact::Rate(_) | Fact::ShareRequest(_) | Fact::ShareGrant(_) => {}
+            }
+        }
+        match packet.asks {
+            true => self.roster.full_state(from, &self.background(now)),
+            false => Vec::new(),
+        }
+    }
+
+    fn background(&self, now: Millis) -> Vec<Fact> {
+        let announcements = self.table.resent_announcements(now).cloned();
+        announcements
+            .map(|announcement| Fact::Upstream(Box::new(announcement)))
+            .collect()
+    }
+
+    fn tick(&mut self, now: Millis) -> Packets {
+        self.table.tick(now);
+        let background = self.background(now);
+        self.roster.tick(now, &background)
+    }
+}
+
+type Packets = Vec<(SocketAddr, Packet)>;
+
+/// Nodes and the network between them, which loses no packets.
+struct Cluster {
+    nodes: Vec<Node>,
+    /// Number of nodes that run; those with higher numbers have crashed.
+    running: usize,
+    now: Millis,
+}
+
+impl Cluster {
+    fn new() -> Self {
+        let mut cluster = Self {
+            nodes: (0..NODES).map(Node::new).collect(),
+            running: NODES,
+            now: Millis::ZERO,
+        };
+        cluster.run(20);
+        cluster
+    }
+
+    fn deliver(&mut self, from: usize, packets: Packets) {
+        for (to, packet) in packets {
+            let Some(at) = (0..self.running).find(|number| node_address(*number) == to) else {
+                continue;
+            };
+            let answers = self.nodes[at].receive(self.now, node_address(from), packet);
+            self.deliver(at, answers);
+        }
+    }
+
+    fn run(&mut self, ticks: u64) {
+        for _ in 0..ticks {
+            self.now += Millis(TICK_MILLIS);
+            for number in 0..self.running {
+                let packets = self.nodes[number].tick(self.now);
+                self.deliver(number, packets);
+            }
+        }
+    }
+
+    /// Returns the sequence number that each node knows of an upstream.
+    fn known(&self, name: &str) -> Vec<Option<u64>> {
+        let known = self.nodes.iter().map(|node| {
+            let mut all = node.table.announcements();
+            all.find(|known| known.upstream.as_str() == name)
+                .map(|known| known.seq)
+        });
+        known.collect()
+    }
+}
+
+/// Without a limit to resending, each node would get a removed upstream back from the others.
+#[test]
+fn silent_upstream_is_removed_everywhere() {
+    let mut cluster = Cluster::new();
+    let now = cluster.now;
+    cluster.nodes[0].announce(now, announcement("w1", 1));
+    cluster.run(10);
+    assert_eq!(cluster.known("w1"), [Some(1); NODES]);
+    cluster.run(2 * FORGET_AFTER.0 / TICK_MILLIS);
+    assert_eq!(cluster.known("w1"), [None; NODES]);
+}
+
+/// Honest announcements are older than an entry with the highest numbers, until that is removed.
+#[test]
+fn highest_numbers_shut_an_upstream_out_for_a_while_only() {
+    let mut cluster = Cluster::new();
+    let mut odd = announcement("w1", MAX_NUMBER);
+    odd.incarnation = Incarnation(MAX_NUMBER);
+    let now = cluster.now;
+    cluster.nodes[1].announce(now, odd);
+    for seq in 1..=2 * FORGET_AFTER.0 / TICK_MILLIS {
+        let now = cluster.now;
+        cluster.nodes[0].announce(now, announcement("w1", seq));
+        cluster.run(1);
+    }
+    let known = cluster.known("w1");
+    assert!(
+        known
+            .iter()
+            .all(|seq| seq.is_some_and(|seq| seq < MAX_NUMBER)),
+        "{known:?}"
+    );
+}
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -381,11 +381,11 @@
         }
     }
 
-    /// Returns all known announcements, and what is known of requests that crash upstreams, for
+    /// Returns the announcements to resend, and what is known of requests that crash upstreams, for
     /// anti-entropy.
     fn background_facts(&self) -> Vec<Fact> {
         let upstreams = &self.inner.upstreams;
-        let announcements = upstreams.announcements().into_iter();
+        let announcements = upstreams.resent_announcements().into_iter();
         let announcements =
             announcements.map(|announcement| Fact::Upstream(Box::new(announcement)));
         let findings = upstreams.known_findings().into_iter();
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -450,6 +450,12 @@
         self.table().statuses(self.timer.now()).collect()
     }
 
+    /// See [`Table::resent_announcements`].
+    pub fn resent_announcements(&self) -> Vec<Announcement> {
+        let now = self.timer.now();
+        self.table().resent_announcements(now).cloned().collect()
+    }
+
     /// Returns the newest announcement of each upstream.
     pub fn announcements(&self) -> Vec<Announcement> {
         self.table().announcements().cloned().collect()
