Ignore generations that no node can have, and refute any newer state of this node

Symptom: a packet that gives a node itself a generation of u64::MAX ended the task that receives gossip in builds with overflow checks ('attempt to add with overflow', roster/table.rs). Without them the node took generation 0 and the others ignored it. The highest heartbeat counter within the node's generation hid it too. Cause: the generation was raised without a limit, and a state of the same generation was not refuted. Mended: generations from 2^63 - 1 on are ignored; a node takes a higher one whenever a newer state of itself is reported.

--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -54,6 +54,10 @@
 /// Most facts in one packet, so that it fits in a datagram of the usual size.
 const MAX_PACKET_FACTS: usize = 14;
 
+/// Generations of nodes are below this, so that a process can take a higher one than is reported of
+/// its address. No clock gives such a time.
+const GENERATION_LIMIT: u64 = u64::MAX / 2;
+
 /// Most packets to one node in a tick.
 const MAX_TICK_PACKETS: usize = 3;
 
@@ -129,8 +133,11 @@
     }
 
     /// Merges the state of another node if it is newer. Returns whether the node is new, restarted,
-    /// started or stopped leaving, or has newer routes.
+    /// started or stopped leaving, or has newer routes. Ignores a generation that no node can have.
     pub fn merge(&mut self, now: Millis, fact: NodeFact) -> bool {
+        if fact.start >= GENERATION_LIMIT {
+            return false;
+        }
         if fact.address == self.own.address {
             self.refute(&fact);
             return false;
@@ -171,10 +178,10 @@
         self.last_packet = Some(now);
     }
 
-    /// Raises the own generation above a higher one that others report. An earlier process at this
-    /// address has such a generation if its clock was ahead; others would ignore this process.
+    /// Raises the own generation above that of a newer state that others report. An earlier process
+    /// at this address has such a state if its clock was ahead; others would ignore this process.
     fn refute(&mut self, fact: &NodeFact) {
-        if fact.start > self.own.start {
+        if fact.is_newer_than(&self.own) {
             let start = fact.start + 1;
             self.update_own(|own| own.start = start);
         }
--- a/crates/core/tests/odd_gossip.rs
+++ b/crates/core/tests/odd_gossip.rs
@@ -227,3 +227,31 @@
         "{known:?}"
     );
 }
+
+/// A node whose own state is reported with numbers above its own has to be heard again.
+macro_rules! odd_state {
+    ($($name:ident: $start:expr, $beat:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut cluster = Cluster::new();
+            let mut odd = state(3, $start, $beat);
+            odd.leaving = true;
+            for number in 0..NODES {
+                let packet = Packet { asks: false, facts: vec![Fact::Node(odd.clone())] };
+                let now = cluster.now;
+                cluster.nodes[number].receive(now, node_address(9), packet);
+            }
+            cluster.run(20);
+            for number in 0..NODES {
+                assert_eq!(cluster.nodes[number].roster.live(cluster.now).count(), NODES - 1);
+            }
+        }
+    )*};
+}
+
+odd_state! {
+    generation_u64_max: u64::MAX, 1;
+    generation_u64_max_half: u64::MAX / 2, 1;
+    generation_far_in_the_future: 1 << 60, 1;
+    beat_u64_max: 1, u64::MAX;
+}
