Keep gossip packets within the buffer of their receivers

Symptom: long facts (names of many kB in an entry or in evidence of a crash, taken by an earlier version or from a hostile packet) made packets of up to 14 facts above 16 KiB, which receivers cut off and drop, or above 64 KiB, which can't be sent. The sound facts in them were lost too, at each tick while the long one was urgent, and again in each round of anti-entropy. Cause: packets were limited by the number of their facts only. Mended: packets are split by encoded size as well; a fact that fits in no packet is left out alone.

--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -16,5 +16,6 @@
 pub use fact::Packet;
 pub use fact::Role;
 pub use spread::Urgency;
+pub use table::MAX_PACKET_BYTES;
 pub use table::Roster;
 pub use table::RosterSettings;
--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use postcard::ser_flavors::Size;
+use postcard::serialize_with_flavor;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
@@ -54,6 +56,13 @@
 /// Most facts in one packet, so that it fits in a datagram of the usual size.
 const MAX_PACKET_FACTS: usize = 14;
 
+/// Largest packet, in bytes, and size of the buffer in which packets are received. Larger datagrams
+/// are cut off, and all of their facts are lost.
+pub const MAX_PACKET_BYTES: usize = 16 << 10;
+
+/// Bytes of a packet besides its facts: the flag and the number of facts.
+const PACKET_HEADER_BYTES: usize = 2;
+
 /// Generations of nodes are below this, so that a process can take a higher one than is reported of
 /// its address. No clock gives such a time.
 const GENERATION_LIMIT: u64 = u64::MAX / 2;
@@ -366,25 +375,42 @@
     }
 }
 
-/// Splits facts into packets to one node. Only the first packet carries `asks`. Facts that nodes of
-/// earlier versions can't decode get packets of their own, as such a node drops the whole packet.
+/// Splits facts into packets to one node, each at most [`MAX_PACKET_BYTES`] long. A fact that is larger
+/// by itself is left out. Only the first packet carries `asks`. Facts that nodes of earlier versions
+/// can't decode get packets of their own, as such a node drops the whole packet.
 fn into_packets(
     to: SocketAddr,
     asks: bool,
     facts: Vec<Fact>,
 ) -> impl Iterator<Item = (SocketAddr, Packet)> {
-    let mut asks = asks;
     let (extensions, facts): (Vec<Fact>, Vec<Fact>) =
         facts.into_iter().partition(Fact::is_extension);
-    let chunks = facts.chunks(MAX_PACKET_FACTS);
-    let packets: Vec<(SocketAddr, Packet)> = chunks
-        .chain(extensions.chunks(MAX_PACKET_FACTS))
-        .map(|facts| {
-            let facts = facts.to_vec();
-            let packet = Packet { asks, facts };
-            asks = false;
-            (to, packet)
-        })
-        .collect();
-    packets.into_iter()
+    let packets = split(facts).into_iter().chain(split(extensions));
+    packets.enumerate().map(move |(number, facts)| {
+        let asks = asks && number == 0;
+        (to, Packet { asks, facts })
+    })
+}
+
+/// Splits facts into groups that each fit in a packet.
+fn split(facts: Vec<Fact>) -> Vec<Vec<Fact>> {
+    let most = MAX_PACKET_BYTES - PACKET_HEADER_BYTES;
+    let mut groups: Vec<Vec<Fact>> = Vec::new();
+    let mut room = 0;
+    for fact in facts {
+        // A fact of the core's own types can always be encoded.
+        let size = serialize_with_flavor(&fact, Size::default()).unwrap_or(usize::MAX);
+        if size > most {
+            continue;
+        }
+        match groups.last_mut() {
+            Some(group) if size <= room && group.len() < MAX_PACKET_FACTS => group.push(fact),
+            _ => {
+                groups.push(vec![fact]);
+                room = most;
+            }
+        }
+        room -= size;
+    }
+    groups
 }
--- a/crates/core/tests/odd_gossip.rs
+++ b/crates/core/tests/odd_gossip.rs
@@ -3,7 +3,11 @@
 
 use std::net::SocketAddr;
 
+use bolero::TypeGenerator;
+use bolero::check;
+use chestnutnotch_core::id::Fingerprint;
 use chestnutnotch_core::roster::Fact;
+use chestnutnotch_core::roster::MAX_PACKET_BYTES;
 use chestnutnotch_core::roster::NodeFact;
 use chestnutnotch_core::roster::Packet;
 use chestnutnotch_core::roster::Role;
@@ -13,6 +17,8 @@
 use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::upstream::Announcement;
+use chestnutnotch_core::upstream::Criteria;
+use chestnutnotch_core::upstream::Kind;
 use chestnutnotch_core::upstream::Load;
 use chestnutnotch_core::upstream::Offer;
 use chestnutnotch_core::upstream::Phase;
@@ -61,6 +67,19 @@
     }
 }
 
+fn criteria() -> Criteria {
+    Criteria {
+        kind: Kind::Service("app".into()),
+        priority: 0,
+        prefixes: Vec::new(),
+        sizes: Vec::new(),
+        session_prefix: None,
+        body: Fingerprint::default(),
+        parts: Vec::new(),
+        avoid: Vec::new(),
+    }
+}
+
 /// A node with what it knows of nodes and upstreams.
 struct Node {
     roster: Roster,
@@ -255,3 +274,134 @@
     generation_far_in_the_future: 1 << 60, 1;
     beat_u64_max: 1, u64::MAX;
 }
+
+/// Returns the evidence of a crash at an upstream with a name of this length.
+fn crash(number: u8, length: usize) -> Fact {
+    Fact::Crash {
+        body: Fingerprint([number; 16]),
+        upstream: "n".repeat(length).into(),
+        incarnation: Incarnation(1),
+    }
+}
+
+/// Long facts must not make packets that no node can receive, with the sound ones in them.
+macro_rules! long_facts {
+    ($($name:ident: $lengths:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut node = Node::new(0);
+            node.roster.merge(Millis(1), state(1, 1, 1));
+            for (number, length) in $lengths.into_iter().enumerate() {
+                node.roster.enqueue(crash(number as u8, length), Urgency::Urgent);
+            }
+            node.announce(Millis(1), announcement("w1", 1));
+            let sound = Fact::Upstream(Box::new(announcement("w1", 1)));
+            let mut packets = node.tick(Millis(2));
+            let background: Vec<Fact> = $lengths.into_iter().map(|length| crash(0, length)).collect();
+            assert!(packets.iter().any(|(_, packet)| packet.facts.contains(&sound)));
+            packets.extend(node.roster.full_state(Millis(2), node_address(1), &background));
+            for (_, packet) in packets {
+                assert!(postcard::to_stdvec(&packet).unwrap().len() <= MAX_PACKET_BYTES);
+            }
+        }
+    )*};
+}
+
+long_facts! {
+    fact_above_a_packet: [20_000];
+    fact_above_a_datagram: [70_000];
+    facts_above_a_packet_together: [9_000, 9_000, 3_000];
+    fact_of_a_whole_packet: [MAX_PACKET_BYTES - 22];
+    facts_around_a_whole_packet: [MAX_PACKET_BYTES - 23, MAX_PACKET_BYTES - 21, MAX_PACKET_BYTES - 20];
+}
+
+/// Applies a packet to a node that knows a sound upstream. That one has to stay in use, and the
+/// packets of the node have to fit in datagrams.
+fn survives(packet: Packet) {
+    let mut node = Node::new(0);
+    node.roster.merge(Millis(1), state(1, 1, 1));
+    node.announce(Millis(1), announcement("w1", 1));
+    node.receive(Millis(2), node_address(1), packet);
+    for now in 3..6 {
+        for (_, packet) in node.tick(Millis(now)) {
+            assert!(postcard::to_stdvec(&packet).unwrap().len() <= MAX_PACKET_BYTES);
+        }
+        node.table.pools(Millis(now), 2);
+        node.table.choose(Millis(now), &criteria()).unwrap();
+    }
+    node.table.tick(Millis(u64::MAX));
+}
+
+#[test]
+fn any_bytes_as_a_packet() {
+    check!().for_each(|bytes: &[u8]| {
+        if let Ok(packet) = postcard::from_bytes::<Packet>(bytes) {
+            survives(packet);
+        }
+    });
+}
+
+/// A fact with any numbers; names are of the given lengths.
+#[derive(Clone, Debug, TypeGenerator)]
+enum AnyFact {
+    Upstream {
+        name: u8,
+        incarnation: u64,
+        seq: u64,
+        address: [u8; 4],
+        port: u16,
+        slots: u32,
+        running: u32,
+    },
+    Node {
+        number: u8,
+        start: u64,
+        beat: u64,
+        leaving: bool,
+    },
+    Crash {
+        length: u16,
+    },
+}
+
+impl AnyFact {
+    fn fact(&self) -> Fact {
+        match *self {
+            Self::Upstream {
+                name,
+                incarnation,
+                seq,
+                address,
+                port,
+                slots,
+                running,
+            } => {
+                let mut entry = announcement(&"n".repeat(usize::from(name)), seq);
+                entry.incarnation = Incarnation(incarnation);
+                entry.address = (address, port).into();
+                entry.slots = slots;
+                entry.load.running = running;
+                Fact::Upstream(Box::new(entry))
+            }
+            Self::Node {
+                number,
+                start,
+                beat,
+                leaving,
+            } => {
+                let mut fact = state(usize::from(number % 4), start, beat);
+                fact.leaving = leaving;
+                Fact::Node(fact)
+            }
+            Self::Crash { length } => crash(length as u8, usize::from(length)),
+        }
+    }
+}
+
+#[test]
+fn any_facts_in_a_packet() {
+    check!().with_type::<Vec<AnyFact>>().for_each(|facts| {
+        let facts = facts.iter().map(AnyFact::fact).collect();
+        survives(Packet { asks: true, facts });
+    });
+}
--- a/crates/fleet/src/edges/gossip.rs
+++ b/crates/fleet/src/edges/gossip.rs
@@ -2,13 +2,11 @@
 
 use std::net::SocketAddr;
 
+use chestnutnotch_core::roster::MAX_PACKET_BYTES;
 use chestnutnotch_core::roster::Packet;
 use thiserror::Error;
 use tokio::net::UdpSocket;
 
-/// Receive buffer for one datagram, in bytes. Senders keep their packets smaller.
-const MAX_DATAGRAM_BYTES: usize = 16 << 10;
-
 /// Error of sending or receiving a packet.
 #[derive(Debug, Error)]
 pub enum GossipError {
@@ -63,7 +61,7 @@
     ///
     /// [`GossipError`] if the socket fails or the datagram is not a packet.
     pub async fn receive(&self) -> Result<(SocketAddr, Packet), GossipError> {
-        let mut bytes = vec![0; MAX_DATAGRAM_BYTES];
+        let mut bytes = vec![0; MAX_PACKET_BYTES];
         let (count, from) = self.socket.recv_from(&mut bytes).await?;
         Ok((from, postcard::from_bytes(&bytes[..count])?))
     }
