Ignore rates with versions or starts that no router or upstream can have

Symptom: a rate notice of gossip with the version u64::MAX would end the task that applies the next answer with another rate, in builds with overflow checks, and start at version 0 in others; one with a start of u64::MAX hides the rates of the upstream's real start. Mended: versions from 2^63 - 1 on and starts above MAX_NUMBER are ignored.

Core rate_table: version_u64_max and start_u64_max failed first (the notice was adopted), so did version_u64_max_half, which did no harm by itself. After: all pass, with rate_shares and upstream_rate. The overflow itself was not run.

--- a/crates/core/src/upstream/rate/book.rs
+++ b/crates/core/src/upstream/rate/book.rs
@@ -10,6 +10,7 @@
 use crate::unit::Incarnation;
 use crate::unit::Millis;
 use crate::unit::RequestRate;
+use crate::upstream::announce::MAX_NUMBER;
 
 use super::grantor::Grantor;
 use super::known::KnownRate;
@@ -325,8 +326,11 @@
     }
 
     /// Returns the entry of a start of an upstream, which replaces that of an earlier start; none if
-    /// a later start is known.
+    /// a later start is known, or if no upstream can have started then.
     fn entry(&mut self, upstream: &Upstream, incarnation: Incarnation) -> Option<&mut Entry> {
+        if incarnation.0 > MAX_NUMBER {
+            return None;
+        }
         let entry = self.entries.entry(upstream.clone());
         let entry = entry.or_insert_with(|| Entry::new(incarnation));
         if entry.incarnation < incarnation {
--- a/crates/core/src/upstream/rate/known.rs
+++ b/crates/core/src/upstream/rate/known.rs
@@ -7,6 +7,9 @@
 /// undo a newer one.
 const ANSWER_LAG: Millis = Millis(1_000);
 
+/// Versions that other routers state are below this, so that a later answer can have a higher one.
+const VERSION_LIMIT: u64 = u64::MAX / 2;
+
 /// The rate that one start of an upstream named last, as far as this router knows.
 ///
 /// Answers of different connections overtake each other, and routers hear of a change one after the
@@ -30,7 +33,7 @@
 /// What became of a rate that another router stated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NoticeEffect {
-    /// It is not newer than what is known.
+    /// It is not newer than what is known, or has a version that no router can have.
     Stale,
     /// It is in force now and has to be passed on.
     Adopted,
@@ -74,6 +77,9 @@
         version: u64,
         rate: Option<RequestRate>,
     ) -> NoticeEffect {
+        if version >= VERSION_LIMIT {
+            return NoticeEffect::Stale;
+        }
         let is_newer = version > self.version;
         if !is_newer && (version < self.version || !is_lower(rate, self.rate)) {
             return NoticeEffect::Stale;
--- a/crates/core/tests/rate_table.rs
+++ b/crates/core/tests/rate_table.rs
@@ -20,6 +20,7 @@
 use chestnutnotch_core::upstream::Phase;
 use chestnutnotch_core::upstream::Table;
 use chestnutnotch_core::upstream::TableConfig;
+use chestnutnotch_core::upstream::rate::RateNotice;
 use chestnutnotch_core::upstream::rate::Reach;
 
 /// One router, which owns all rates.
@@ -148,3 +149,31 @@
     table.observe_rate(Millis(40), pick.attempt, Some(RequestRate(1_000)));
     assert!(send(&mut table, 50, None).is_ok());
 }
+
+/// Another router states a rate with numbers that no router can have. A later answer still counts.
+macro_rules! odd_notice {
+    ($($name:ident: $incarnation:expr, $version:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut table = table(1);
+            let notice = RateNotice {
+                upstream: Upstream::from("u0"),
+                incarnation: Incarnation($incarnation),
+                version: $version,
+                rate: Some(RequestRate(5_000)),
+            };
+            assert_eq!(table.observe_rate_notice(Millis(5), &notice), None);
+            send(&mut table, 2_000, Some(1_000)).unwrap();
+            let known: Vec<RateNotice> = table.rate_notices().collect();
+            assert_eq!(known.len(), 1);
+            assert_eq!(known[0].incarnation, Incarnation(1));
+            assert_eq!(known[0].rate, Some(RequestRate(1_000)));
+        }
+    )*};
+}
+
+odd_notice! {
+    version_u64_max: 1, u64::MAX;
+    version_u64_max_half: 1, u64::MAX / 2;
+    start_u64_max: u64::MAX, 1;
+}
