--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use postcard::ser_flavors::Size;
+use postcard::serialize_with_flavor;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
@@ -54,6 +56,17 @@
 /// Most facts in one packet, so that it fits in a datagram of the usual size.
 const MAX_PACKET_FACTS: usize = 14;
 
+/// Largest packet, in bytes, and size of the buffer in which packets are received. Larger datagrams
+/// are cut off, and all of their facts are lost.
+pub const MAX_PACKET_BYTES: usize = 16 << 10;
+
+/// Bytes of a packet besides its facts: the flag and the number of facts.
+const PACKET_HEADER_BYTES: usize = 2;
+
+/// Generations of nodes are below this, so that a process can take a higher one than is reported of
+/// its address. No clock gives such a time.
+const GENERATION_LIMIT: u64 = u64::MAX / 2;
+
 /// Most packets to one node in a tick.
 const MAX_TICK_PACKETS: usize = 3;
 
@@ -129,8 +142,11 @@
     }
 
     /// Merges the state of another node if it is newer. Returns whether the node is new, restarted,
-    /// started or stopped leaving, or has newer routes.
+    /// started or stopped leaving, or has newer routes. Ignores a generation that no node can have.
     pub fn merge(&mut self, now: Millis, fact: NodeFact) -> bool {
+        if fact.start >= GENERATION_LIMIT {
+            return false;
+        }
         if fact.address == self.own.address {
             self.refute(&fact);
             return false;
@@ -171,10 +187,10 @@
         self.last_packet = Some(now);
     }
 
-    /// Raises the own generation above a higher one that others report. An earlier process at this
-    /// address has such a generation if its clock was ahead; others would ignore this process.
+    /// Raises the own generation above that of a newer state that others report. An earlier process
+    /// at this address has such a state if its clock was ahead; others would ignore this process.
     fn refute(&mut self, fact: &NodeFact) {
-        if fact.start > self.own.start {
+        if fact.is_newer_than(&self.own) {
             let start = fact.start + 1;
             self.update_own(|own| own.start = start);
         }
@@ -202,31 +218,46 @@
             let room = MAX_PACKET_FACTS
                 .saturating_sub(facts.len())
                 .max(ANTI_ENTROPY_FACTS);
-            facts.extend(self.next_anti_entropy(room, background));
+            facts.extend(self.next_anti_entropy(now, room, background));
             packets.extend(into_packets(target, asks, facts));
         }
         packets
     }
 
-    /// Returns packets with everything that this node knows, for a node that asks for it.
+    /// Returns packets with everything that this node resends, for a node that asks for it.
     /// `background` is as for [`Self::tick`].
-    pub fn full_state(&self, to: SocketAddr, background: &[Fact]) -> Vec<(SocketAddr, Packet)> {
-        let nodes = self.nodes.values().map(|member| &member.fact);
-        let nodes = nodes.chain([&self.own]).cloned().map(Fact::Node);
+    pub fn full_state(
+        &self,
+        now: Millis,
+        to: SocketAddr,
+        background: &[Fact],
+    ) -> Vec<(SocketAddr, Packet)> {
+        let nodes = self.resent_nodes(now).chain([&self.own]);
+        let nodes = nodes.cloned().map(Fact::Node);
         let facts = nodes.chain(background.iter().cloned()).collect();
         into_packets(to, false, facts).collect()
     }
 
+    /// Returns the nodes that anti-entropy resends. Those not heard of for half of the retention are left
+    /// out, or a node that has removed one would get it back from one that removes it later.
+    fn resent_nodes(&self, now: Millis) -> impl Iterator<Item = &NodeFact> {
+        let lifetime = Millis(self.settings.retention.0 / 2);
+        let members = self.nodes.values();
+        members
+            .filter(move |member| now < member.last_heartbeat + lifetime)
+            .map(|member| &member.fact)
+    }
+
     /// Returns the next `count` facts of anti-entropy and moves the cursor past them. The known
     /// nodes come first in each round, then `background`.
-    fn next_anti_entropy(&mut self, count: usize, background: &[Fact]) -> Vec<Fact> {
-        let nodes: Vec<&Member> = self.nodes.values().collect();
+    fn next_anti_entropy(&mut self, now: Millis, count: usize, background: &[Fact]) -> Vec<Fact> {
+        let nodes: Vec<&NodeFact> = self.resent_nodes(now).collect();
         let total = nodes.len() + background.len();
         let mut out = Vec::with_capacity(count);
         for step in 0..count.min(total) {
             let at = (self.cursor + step) % total;
             match nodes.get(at) {
-                Some(member) => out.push(Fact::Node(member.fact.clone())),
+                Some(fact) => out.push(Fact::Node((*fact).clone())),
                 None => out.push(background[at - nodes.len()].clone()),
             }
         }
@@ -344,25 +375,42 @@
     }
 }
 
-/// Splits facts into packets to one node. Only the first packet carries `asks`. Facts that nodes of
-/// earlier versions can't decode get packets of their own, as such a node drops the whole packet.
+/// Splits facts into packets to one node, each at most [`MAX_PACKET_BYTES`] long. A fact that is larger
+/// by itself is left out. Only the first packet carries `asks`. Facts that nodes of earlier versions
+/// can't decode get packets of their own, as such a node drops the whole packet.
 fn into_packets(
     to: SocketAddr,
     asks: bool,
     facts: Vec<Fact>,
 ) -> impl Iterator<Item = (SocketAddr, Packet)> {
-    let mut asks = asks;
     let (extensions, facts): (Vec<Fact>, Vec<Fact>) =
         facts.into_iter().partition(Fact::is_extension);
-    let chunks = facts.chunks(MAX_PACKET_FACTS);
-    let packets: Vec<(SocketAddr, Packet)> = chunks
-        .chain(extensions.chunks(MAX_PACKET_FACTS))
-        .map(|facts| {
-            let facts = facts.to_vec();
-            let packet = Packet { asks, facts };
-            asks = false;
-            (to, packet)
-        })
-        .collect();
-    packets.into_iter()
+    let packets = split(facts).into_iter().chain(split(extensions));
+    packets.enumerate().map(move |(number, facts)| {
+        let asks = asks && number == 0;
+        (to, Packet { asks, facts })
+    })
+}
+
+/// Splits facts into groups that each fit in a packet.
+fn split(facts: Vec<Fact>) -> Vec<Vec<Fact>> {
+    let most = MAX_PACKET_BYTES - PACKET_HEADER_BYTES;
+    let mut groups: Vec<Vec<Fact>> = Vec::new();
+    let mut room = 0;
+    for fact in facts {
+        // A fact of the core's own types can always be encoded.
+        let size = serialize_with_flavor(&fact, Size::default()).unwrap_or(usize::MAX);
+        if size > most {
+            continue;
+        }
+        match groups.last_mut() {
+            Some(group) if size <= room && group.len() < MAX_PACKET_FACTS => group.push(fact),
+            _ => {
+                groups.push(vec![fact]);
+                room = most;
+            }
+        }
+        room -= size;
+    }
+    groups
 }
