Decide at one place whether an answer continues a stream

Symptom: a stream had begun and broke off, and it was resumed. Callers found in the middle of their stream what the next upstream had sent instead of its rest: an error's JSON, a whole head `HTTP/1.1 500` in text, an event without a number; or the stream ended as if it were complete.

Cause: the relay took any 200 that was not declared as something else for the rest, and checked the numbers of its events only where there were some. An answer with a length or a last chunk and without an event, or with a comment only, ended the caller's stream as complete. There is no end marker, so that neither proves that nothing was missing. An encoded answer was passed on where the caller had been promised another encoding. An answer that could not be the rest (204, 206, 302, 4xx, JSON) ended the stream although the route allowed another attempt.

Change: the head decides first (200, events, not encoded; the attempt has tied it to the request by signature and id); then each event of the answer has to have the next number, or to be a comment. Nothing of the answer is forwarded before its first event. An answer without an event proves no end. What fails is tried at another upstream while the route allows it; else the caller's connection is closed without the last chunk.

Cost: a stream that breaks between its last event and its end is not completed by the empty answer of an upstream that has nothing to add; its caller sees it as broken. Comments before the first event of the rest are dropped. An answer that can't be the rest now takes one more retry from the budget, where the route allows it.

--- a/crates/fleet/src/edges/http/events.rs
+++ b/crates/fleet/src/edges/http/events.rs
@@ -46,13 +46,10 @@
     /// Returns the size of the incomplete event that the bytes so far end in; zero if they end
     /// between events. Blank lines and whole comments belong to no event.
     pub fn partial_bytes(&self) -> usize {
-        let mut lines = self.partial.split_inclusive(is_line_end);
-        let is_between = lines.all(|line| match line {
-            [end] => is_line_end(end),
-            [b':', .., end] => is_line_end(end),
-            _ => false,
-        });
-        if is_between { 0 } else { self.partial.len() }
+        match is_comment(&self.partial) {
+            true => 0,
+            false => self.partial.len(),
+        }
     }
 
     /// Takes the bytes after the last complete event.
@@ -85,6 +82,16 @@
     lines.any(|line| line.starts_with(b"data"))
 }
 
+/// Returns whether bytes consist of whole comments and blank lines, and so carry no event.
+pub fn is_comment(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split_inclusive(is_line_end);
+    lines.all(|line| match line {
+        [end] => is_line_end(end),
+        [b':', .., end] => is_line_end(end),
+        _ => false,
+    })
+}
+
 fn is_line_end(byte: &u8) -> bool {
     matches!(byte, b'\n' | b'\r')
 }
--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -7,6 +7,7 @@
 use chestnutnotch_core::upstream::AttemptOutcome;
 use http::HeaderMap;
 use http::Response;
+use http::StatusCode;
 use http::header;
 use http::response;
 use thiserror::Error;
@@ -48,13 +49,20 @@
     #[error(transparent)]
     Answer(#[from] AnswerFault),
     /// An event is missing or was sent twice.
-    #[error("event {found} came where {expected} was due")]
+    #[error("event {found} came after event {last}")]
     Order {
-        /// Number of the event that was due.
-        expected: u64,
+        /// Number of the last event that was forwarded.
+        last: u64,
         /// Number of the event that arrived.
         found: u64,
     },
+    /// The answer to a resume has an event without a number, or text that is no event.
+    #[error("the answer to a resume has an event without a number")]
+    Unnumbered,
+    /// The answer to a resume has no event. There is no end marker, so that this does not prove
+    /// that the stream was complete.
+    #[error("the answer to a resume has no event")]
+    NoRest,
 }
 
 impl StreamFault {
@@ -63,6 +71,8 @@
         match self {
             Self::Answer(fault) => fault.label(),
             Self::Order { .. } => "order",
+            Self::Unnumbered => "unnumbered",
+            Self::NoRest => "no_rest",
         }
     }
 }
@@ -115,12 +125,28 @@
         tx,
         has_unnumbered: false,
         event_count: 0,
+        rest_count: None,
         status: parts.status,
     };
     tokio::spawn(relay.run(opened));
     Response::from_parts(parts, ReplyBody::Stream(rx))
 }
 
+/// Returns whether an answer to a resume may continue the stream, by its head: events as such,
+/// which [`exchange::attempt`] has tied to the request. Its events are checked as they arrive.
+fn may_continue(opened: &OpenResponse) -> bool {
+    let is_encoded = opened.head.headers.contains_key(header::CONTENT_ENCODING);
+    opened.head.status == StatusCode::OK && opened.body.is_events() && !is_encoded
+}
+
+/// Checks that the event with number `found` comes next after `last`, if there was one.
+fn check_order(last: Option<u64>, found: u64) -> Result<(), StreamFault> {
+    match last {
+        Some(last) if last + 1 != found => Err(StreamFault::Order { last, found }),
+        _ => Ok(()),
+    }
+}
+
 /// Forwards the streamed answer of one request, over several upstreams if it is resumed.
 struct Relay {
     job: Job,
@@ -131,8 +157,10 @@
     has_unnumbered: bool,
     /// Number of events forwarded.
     event_count: u64,
+    /// Number of events forwarded from the answer to the last resume; `None` before the first one.
+    rest_count: Option<u64>,
     /// Status of the answer, for the log.
-    status: http::StatusCode,
+    status: StatusCode,
 }
 
 impl Relay {
@@ -184,10 +212,11 @@
         let deadline = Instant::now() + Duration::from_millis(self.job.time_left().0);
         let mut part = std::mem::take(&mut opened.received);
         loop {
-            if opened.body.is_events()
-                && let Err(fault) = self.check_events(&part)
-            {
-                return StreamEnd::Faulty(fault);
+            if opened.body.is_events() {
+                part = match self.check_events(part) {
+                    Ok(part) => part,
+                    Err(fault) => return StreamEnd::Faulty(fault),
+                };
             }
             if !part.is_empty() {
                 let sending = self.tx.send(Part::Data(part));
@@ -204,6 +233,9 @@
             };
             part = match next {
                 Ok(Ok(Some(part))) => part,
+                Ok(Ok(None)) if self.rest_count == Some(0) => {
+                    return StreamEnd::Faulty(StreamFault::NoRest);
+                }
                 Ok(Ok(None)) => return StreamEnd::Whole,
                 Ok(Err(fault)) => return StreamEnd::Faulty(fault.into()),
                 Err(_) => return StreamEnd::DeadlinePassed,
@@ -211,28 +243,34 @@
         }
     }
 
-    /// Checks that the events have consecutive numbers, then counts and charges them.
-    fn check_events(&mut self, whole: &Bytes) -> Result<(), StreamFault> {
+    /// Checks that the events have consecutive numbers, then counts and charges them. Returns those
+    /// to forward: from the answer to a resume, nothing before its first event.
+    fn check_events(&mut self, part: Bytes) -> Result<Bytes, StreamFault> {
         let mut last = self.last_event;
         let mut count = 0;
-        for event in events::split_events(whole.clone()) {
-            let Some(found) = events::event_id(&event) else {
-                self.has_unnumbered |= events::has_data(&event);
-                continue;
-            };
-            let expected = last.map(|last| last + 1);
-            if let Some(expected) = expected.filter(|expected| *expected != found) {
-                return Err(StreamFault::Order { expected, found });
+        let mut skipped = 0;
+        for event in events::split_events(part.clone()) {
+            match (events::event_id(&event), self.rest_count) {
+                (Some(found), _) => {
+                    check_order(last, found)?;
+                    last = Some(found);
+                    count += 1;
+                }
+                (None, None) => self.has_unnumbered |= events::has_data(&event),
+                (None, Some(_)) if !events::is_comment(&event) => {
+                    return Err(StreamFault::Unnumbered);
+                }
+                (None, Some(before)) if before + count == 0 => skipped += event.len(),
+                (None, Some(_)) => {}
             }
-            last = Some(found);
-            count += 1;
         }
         self.last_event = last;
         self.event_count += count;
+        self.rest_count = self.rest_count.map(|before| before + count);
         if let Some(charge) = &mut self.job.charge {
             charge.add_delivered(Tokens(count * self.job.stride));
         }
-        Ok(())
+        Ok(part.slice(skipped..))
     }
 
     /// Resumes the stream at another upstream, if the route, the deadline and the retry budget
@@ -245,15 +283,28 @@
                 () = self.tx.closed() => return None,
                 response = attempt => response,
             };
-            match response {
-                Ok(AttemptResponse::Stream(opened)) if opened.body.is_events() => {
+            let status = match response {
+                Ok(AttemptResponse::Stream(opened)) if may_continue(&opened) => {
+                    self.rest_count = Some(0);
                     self.job.gateway.metrics.resumes.add("resumed");
                     log::info!(target: "request", id = &*self.job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream, after = self.last_event.unwrap_or(0); "stream resumed");
                     return Some(*opened);
                 }
-                Ok(AttemptResponse::Stream(_) | AttemptResponse::Complete(_)) => break,
-                Err(failure) => self.job.runs += u32::from(failure.maybe_ran),
-            }
+                Ok(AttemptResponse::Stream(opened)) => opened.head.status,
+                Ok(AttemptResponse::Complete(response)) => response.status(),
+                Err(failure) => {
+                    self.job.runs += u32::from(failure.maybe_ran);
+                    continue;
+                }
+            };
+            self.job.runs += 1;
+            self.job.gateway.metrics.resumes.add("unfit");
+            let upstream = self
+                .job
+                .tried
+                .last()
+                .map_or("", |upstream| upstream.as_str());
+            log::info!(target: "upstream", id = &*self.job.metadata.attempt_id, upstream, status = status.as_u16(), after = self.last_event.unwrap_or(0); "answer does not continue the stream");
         }
         self.job.gateway.metrics.resumes.add("given_up");
         None
