Numbers of events don't overflow

Symptom: an upstream's event with the largest number, or a caller's header that names it, ended the task that forwards the stream by a panic where overflow is checked; elsewhere the next number was 0.

Cause: the number that was due was computed by an unchecked addition.

Evidence: `numbers_that_overflow_are_not_passed_on` on the code of before: "attempt to add with overflow" in check_events, the caller's stream was cut. With the change: no event can follow the last number, so the answer is not taken, and the next worker's is. Passes (66 of 66 in resumes::).

--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -142,7 +142,7 @@
 /// Checks that the event with number `found` comes next after `last`, if there was one.
 fn check_order(last: Option<u64>, found: u64) -> Result<(), StreamFault> {
     match last {
-        Some(last) if last + 1 != found => Err(StreamFault::Order { last, found }),
+        Some(last) if last.checked_add(1) != Some(found) => Err(StreamFault::Order { last, found }),
         _ => Ok(()),
     }
 }
