Bound the attempts to resume a stream

Symptom: one stream that could not be resumed used up the retry budget of its service, and the next stream that broke off was not resumed although a worker was free.

Cause: where an attempt to resume found no upstream, or was refused as not run, the relay tried again as long as the budget gave a retry. Only attempts that may have run count towards the route's limit.

Change: four attempts after one failure, and none after the deadline.

--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::unit::Tokens;
 use chestnutnotch_core::upstream::AttemptOutcome;
 use http::HeaderMap;
@@ -29,6 +30,10 @@
 /// queue is full.
 const MAX_QUEUED_CHUNKS: usize = 16;
 
+/// Maximum number of attempts to resume a stream after one failure, including those that find no
+/// upstream. Each takes a retry from the budget of all requests for the service.
+const MAX_RESUME_ATTEMPTS: u32 = 4;
+
 /// Hop-by-hop headers, which apply to a single connection.
 const HOP_BY_HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -273,10 +278,18 @@
         Ok(part.slice(skipped..))
     }
 
+    /// Returns whether the route, the deadline and the retry budget allow an attempt to resume.
+    fn may_resume(&self) -> bool {
+        self.job.may_rerun() && self.job.time_left() > Millis::ZERO && self.job.take_retry()
+    }
+
     /// Resumes the stream at another upstream, if the route, the deadline and the retry budget
     /// allow it. Returns `None` if they don't, or if the caller disconnects.
     async fn resume(&mut self) -> Option<OpenResponse> {
-        while self.job.may_rerun() && self.job.take_retry() {
+        for _ in 0..MAX_RESUME_ATTEMPTS {
+            if !self.may_resume() {
+                break;
+            }
             let attempt = exchange::attempt(&mut self.job, self.last_event);
             let response = tokio::select! {
                 biased;
