Take any sequence number below half of the range

The limit of 2^53 also held for sequence numbers, which a worker may count in any unit; the soak's workers announce that they drain with 2^63 - 1, which was refused, so that the soak no longer checked their drain. Incarnations are Unix milliseconds and keep the limit.

--- a/crates/core/src/upstream/announce.rs
+++ b/crates/core/src/upstream/announce.rs
@@ -25,8 +25,11 @@
 /// Most slots of an upstream. Announcements with more would attract all requests.
 pub const MAX_SLOTS: u32 = 65_536;
 
-/// Highest incarnation and sequence number. Higher ones are not exact in every JSON implementation.
-pub const MAX_NUMBER: u64 = (1 << 53) - 1;
+/// Highest incarnation. Milliseconds since 1970 stay far below it.
+pub const MAX_INCARNATION: u64 = (1 << 53) - 1;
+
+/// Highest sequence number, so that a later one is always possible.
+pub const MAX_SEQUENCE: u64 = u64::MAX / 2;
 
 /// Why an announcement is refused.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
@@ -44,7 +47,7 @@
     #[error("{0} slots are not 1 to {MAX_SLOTS}")]
     Slots(u32),
     /// The incarnation or the sequence number is too high.
-    #[error("{name} {value} is above {MAX_NUMBER}")]
+    #[error("{name} {value} is too high")]
     Number {
         /// Name of the field.
         name: &'static str,
@@ -112,8 +115,8 @@
         if !(1..=MAX_SLOTS).contains(&self.slots) {
             return Err(AnnouncementError::Slots(self.slots));
         }
-        check_number("incarnation", self.incarnation.0)?;
-        check_number("sequence number", self.seq)
+        check_number("incarnation", self.incarnation.0, MAX_INCARNATION)?;
+        check_number("sequence number", self.seq, MAX_SEQUENCE)
     }
 }
 
@@ -135,8 +138,8 @@
     }
 }
 
-fn check_number(name: &'static str, value: u64) -> Result<(), AnnouncementError> {
-    match value <= MAX_NUMBER {
+fn check_number(name: &'static str, value: u64, most: u64) -> Result<(), AnnouncementError> {
+    match value <= most {
         true => Ok(()),
         false => Err(AnnouncementError::Number { name, value }),
     }
--- a/crates/core/src/upstream/rate/book.rs
+++ b/crates/core/src/upstream/rate/book.rs
@@ -10,7 +10,7 @@
 use crate::unit::Incarnation;
 use crate::unit::Millis;
 use crate::unit::RequestRate;
-use crate::upstream::announce::MAX_NUMBER;
+use crate::upstream::announce::MAX_INCARNATION;
 
 use super::grantor::Grantor;
 use super::known::KnownRate;
@@ -328,7 +328,7 @@
     /// Returns the entry of a start of an upstream, which replaces that of an earlier start; none if
     /// a later start is known, or if no upstream can have started then.
     fn entry(&mut self, upstream: &Upstream, incarnation: Incarnation) -> Option<&mut Entry> {
-        if incarnation.0 > MAX_NUMBER {
+        if incarnation.0 > MAX_INCARNATION {
             return None;
         }
         let entry = self.entries.entry(upstream.clone());
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -14,7 +14,7 @@
 use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::upstream::Announcement;
 use chestnutnotch_core::upstream::Phase;
-use chestnutnotch_core::upstream::announce::MAX_NUMBER;
+use chestnutnotch_core::upstream::announce::MAX_SEQUENCE;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -153,7 +153,7 @@
         }
         self.nodes.announce(Announcement {
             phase: Phase::Leaving,
-            seq: known.seq.saturating_add(1).min(MAX_NUMBER),
+            seq: known.seq.saturating_add(1).min(MAX_SEQUENCE),
             ..known
         });
     }
