Read an event of a chat past its comments

Symptom: the stream of a chat broke off, and the upstream answered the request for its rest with an error. Callers found the error's text in the middle of their stream where a blank line or a comment came before it.

Cause: an event that begins with a colon or a line end was taken for a comment as a whole, and forwarded. By reading, a token in such an event was not counted either; no test shows it.

Change: leading comments and blank lines are skipped, and the rest has to be data of the chat. An event is empty only if it has no other line.

--- a/crates/fleet/src/edges/http/events.rs
+++ b/crates/fleet/src/edges/http/events.rs
@@ -92,6 +92,13 @@
     })
 }
 
+/// Returns an event from its first line that is neither blank nor a comment.
+pub fn skip_comments(event: &[u8]) -> &[u8] {
+    let lines = event.split_inclusive(is_line_end);
+    let skipped = lines.take_while(|line| is_comment(line)).map(<[u8]>::len);
+    event.split_at(skipped.sum()).1
+}
+
 fn is_line_end(byte: &u8) -> bool {
     matches!(byte, b'\n' | b'\r')
 }
--- a/crates/fleet/src/filters/sse.rs
+++ b/crates/fleet/src/filters/sse.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use thiserror::Error;
 
+use crate::edges::http::events;
+
 /// Separator after each event.
 const EVENT_END: &[u8] = b"\n\n";
 
@@ -89,13 +91,12 @@
 ///
 /// [`StreamError::Malformed`] or [`StreamError::Foreign`].
 pub fn parse_event<'a>(event: &'a [u8], id: &str) -> Result<Event<'a>, StreamError> {
-    let Some(data) = event.strip_prefix(b"data:") else {
-        return match event.first() {
-            Some(b':' | b'\n' | b'\r') => Ok(Event::Empty),
-            _ => Err(StreamError::Malformed),
-        };
-    };
-    let data = data.trim_ascii();
+    let event = events::skip_comments(event);
+    if event.is_empty() {
+        return Ok(Event::Empty);
+    }
+    let data = event.strip_prefix(b"data:");
+    let data = data.ok_or(StreamError::Malformed)?.trim_ascii();
     if data == b"[DONE]" {
         return Ok(Event::Done);
     }
