Refuse the answer to a chat that is declared as no stream

Symptom: the rest of a chat was taken from an answer that the upstream declares as JSON.

Cause: such a body was read without splitting it into events, but as events all the same.

Change: an answer of another content type does not open a stream; like a broken one, the chat may have run. Why a chat is not resumed goes to the log.

Evidence: rest_declared_as_json failed before (the chat was complete). With this commit, router_resumes 31 of 31, router_chat 22 of 22, router_framing 15 of 15, events 11 of 11.

--- a/crates/fleet/src/filters/attempt.rs
+++ b/crates/fleet/src/filters/attempt.rs
@@ -45,6 +45,9 @@
     /// The upstream answered with another status than 200.
     #[error("status {0}")]
     Status(StatusCode),
+    /// The upstream declares that its answer is no stream of events.
+    #[error("the answer is declared as another content type")]
+    ContentType,
 }
 
 /// Why reading the event stream of an upstream failed.
@@ -130,9 +133,11 @@
             return Err(OpenError::Status(response.status()));
         }
         let (head, incoming) = response.into_parts();
-        Ok(Self {
-            body: AnswerBody::events(&head, incoming),
-        })
+        let body = AnswerBody::events(&head, incoming);
+        match body.is_events() {
+            true => Ok(Self { body }),
+            false => Err(OpenError::ContentType),
+        }
     }
 
     /// Returns the next complete events. Cancel safe.
--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -380,7 +380,9 @@
                 self.end_not_run(open, AttemptOutcome::Neutral);
                 AttemptError::Abort(Refusal::Failed(self.execution).into())
             }
-            OpenError::Send(SendError::Broken) => self.end_unknown(open, AttemptOutcome::Broken),
+            OpenError::Send(SendError::Broken) | OpenError::ContentType => {
+                self.end_unknown(open, AttemptOutcome::Broken)
+            }
             OpenError::Send(SendError::TimedOut) => {
                 self.end_unknown(open, AttemptOutcome::TimedOut)
             }
--- a/crates/fleet/src/filters/relay.rs
+++ b/crates/fleet/src/filters/relay.rs
@@ -92,13 +92,18 @@
         let address = open.pick.address;
         let resumed =
             EventStream::resume(client, address, &open.request_id, reader.tokens(), timeout).await;
-        let result = if resumed.is_ok() {
-            "resumed"
-        } else {
-            "refused"
-        };
-        self.chain.metrics.resumes.add(result);
-        resumed.ok()
+        let resumes = &self.chain.metrics.resumes;
+        match resumed {
+            Ok(resumed) => {
+                resumes.add("resumed");
+                Some(resumed)
+            }
+            Err(error) => {
+                log::info!(target: "upstream", id = &*open.request_id, upstream:% = open.pick.upstream, error:% = error; "chat not resumed");
+                resumes.add("refused");
+                None
+            }
+        }
     }
 
     /// Relays events until the answer is complete or reading fails.
--- a/crates/fleet/tests/router_resumes.rs
+++ b/crates/fleet/tests/router_resumes.rs
@@ -159,6 +159,7 @@
     head_in_the_body: chunked("200 OK", EVENTS_TYPE, ERROR_HEAD);
     head_after_a_blank_line: unframed("200 OK", EVENTS_TYPE, &format!("\r\n{ERROR_HEAD}"));
     rest_of_another_chat: unframed("200 OK", EVENTS_TYPE, OTHER_REST);
+    rest_declared_as_json: unframed("200 OK", JSON_TYPE, REST);
     empty_by_length: sized("200 OK", EVENTS_TYPE, "");
     empty_in_chunks: chunked("200 OK", EVENTS_TYPE, "");
     empty_by_connection: unframed("200 OK", EVENTS_TYPE, "");
