--- a/crates/fleet/src/filters/attempt.rs
+++ b/crates/fleet/src/filters/attempt.rs
@@ -51,6 +51,9 @@
     /// An answer with this status is not tied to the request, which may run.
     #[error("status {0} of an answer that is not tied to the request")]
     Untied(StatusCode),
+    /// The upstream declares that its answer is no stream of events.
+    #[error("the answer is declared as another content type")]
+    ContentType,
 }
 
 /// Why reading the event stream of an upstream failed.
@@ -144,9 +147,11 @@
             return Err(OpenError::Refused(status, NotRun::from_answer(tie)));
         }
         let (head, incoming) = response.into_parts();
-        Ok(Self {
-            body: AnswerBody::events(&head, incoming),
-        })
+        let body = AnswerBody::events(&head, incoming);
+        match body.is_events() {
+            true => Ok(Self { body }),
+            false => Err(OpenError::ContentType),
+        }
     }
 
     /// Returns the next complete events. Cancel safe.
--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -376,6 +376,7 @@
             OpenError::Send(error) => self.send_failed(open, error),
             OpenError::Refused(status, proof) => self.status_refused(open, *status, *proof),
             OpenError::Untied(_) => self.end_unknown(open, AttemptOutcome::Neutral),
+            OpenError::ContentType => self.end_unknown(open, AttemptOutcome::Broken),
         }
     }
 
