Answer calls that may be repeated over connections of their own

Symptom: a caller of a plain service could get the answer that an earlier caller had got, if the service wrote it once more on a kept connection: services repeat no id, so nothing tells whose answer it is.

--- a/crates/fleet/src/filters/call.rs
+++ b/crates/fleet/src/filters/call.rs
@@ -368,11 +368,11 @@
 /// Makes one attempt at a repeatable call.
 async fn attempt(chain: &Chain, call: &CheckedCall, pick: Pick) -> CallAttempt {
     let request = upstream_request(call, &pick);
-    let sent = chain.client.send(request, chain.time_left(call)).await;
+    // Services repeat no id, so an answer over a kept connection could be that to another call.
+    let left = chain.time_left(call);
+    let sent = chain.client.send_once(request, left).await;
     let (proof, answer) = match sent {
         Ok(response) if is_overload(response.status()) => {
-            // No later answer over the connection could be tied, nor be this one once more.
-            counted::retire(&response);
             let Some(tie) = counted::tie(&response, None) else {
                 let status = response.status().as_u16();
                 log::warn!(
--- a/crates/standin/src/earlier.rs
+++ b/crates/standin/src/earlier.rs
@@ -38,6 +38,8 @@
 struct Saved {
     /// Latest refusal of a chat or call.
     refusal: Option<Whole>,
+    /// Latest answer with status 200, saved if it may be repeated.
+    answered: Option<Whole>,
     /// Latest acknowledgement of a cancel.
     cancelled: Option<Whole>,
     /// Whether a stream began.
@@ -81,6 +83,11 @@
         }
         let is_ok = answer.status() == StatusCode::OK;
         match purpose {
+            Purpose::Work if is_ok && faults.repeat_answer => {
+                let whole = collect(answer).await?;
+                self.lock().answered = Some(whole.clone());
+                Ok(whole.response())
+            }
             Purpose::Work if is_ok => {
                 self.lock().streamed = true;
                 Ok(answer)
@@ -112,6 +119,7 @@
         }
         match purpose {
             Purpose::Work if faults.repeat_refusal => saved.refusal.clone(),
+            Purpose::Work if faults.repeat_answer => saved.answered.clone(),
             Purpose::Cancel if faults.repeat_cancel => saved.cancelled.clone(),
             _ => None,
         }
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -33,6 +33,9 @@
     /// The latest refusal of a chat or call is written once more on its connection, in place of the
     /// answer to a later one, which runs.
     pub repeat_refusal: bool,
+    /// The latest answer with status 200 to a call is written once more on its connection, in place
+    /// of the answer to a later one, which runs.
+    pub repeat_answer: bool,
     /// The latest acknowledgement of a cancel is written once more on its connection, in place of
     /// that of a later cancel, which is executed.
     pub repeat_cancel: bool,
