Ignore announcements with the router's own address

Symptom: an entry with the address on which a router takes requests made that router send a request to itself, and again, until the time limit. Cause: a router knew nothing of its own address as an address of upstreams. Mended: the table of a router ignores announcements with the address on which it listens. Other routers keep such an entry; a request that they send there is answered as one without an upstream. A router that listens on all addresses (0.0.0.0) isn't covered.

--- a/crates/core/src/upstream/config.rs
+++ b/crates/core/src/upstream/config.rs
@@ -1,5 +1,7 @@
 //! Configuration of a router's [`Table`](super::Table).
 
+use std::net::SocketAddr;
+
 use crate::unit::Millis;
 
 /// Configuration of a [`Table`](super::Table), fixed when the router starts.
@@ -50,6 +52,9 @@
     /// Whether upstreams are known by their heartbeats alone. They can't be probed, their
     /// incarnations are the times of their starts, and the latest start at an address owns it.
     pub heartbeat_only: bool,
+    /// Address on which this router takes requests, if it is a router. Announcements with it are
+    /// ignored, as it would send requests to itself.
+    pub own_address: Option<SocketAddr>,
     /// Number of upstreams that break off a request before it is quarantined, with
     /// `heartbeat_only`.
     pub break_limit: usize,
@@ -98,6 +103,7 @@
             copies: 3,
             order: Order::Total,
             heartbeat_only: false,
+            own_address: None,
             break_limit: 3,
             prefill_rate: 40,
             request_delay: 20,
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -264,9 +264,11 @@
     }
 
     /// Applies an announcement. Returns whether it changed the table and has to be passed on to
-    /// other routers. One that no upstream can have sent is ignored.
+    /// other routers. One that no upstream can have sent, or with this router's own address, is
+    /// ignored.
     pub fn observe(&mut self, now: Millis, mut announcement: Announcement) -> bool {
-        if announcement.check().is_err() {
+        let is_own = self.config.own_address == Some(announcement.address);
+        if is_own || announcement.check().is_err() {
             return false;
         }
         announcement.cached.truncate(MAX_CACHE_EVENTS);
--- a/crates/core/tests/odd_announcements.rs
+++ b/crates/core/tests/odd_announcements.rs
@@ -131,3 +131,16 @@
     entry.centre = DataCentre::from("z\u{fc}rich".to_owned());
     assert_eq!(entry.check(), Ok(()));
 }
+
+/// A router would send requests to itself, again and again.
+#[test]
+fn own_address_is_ignored() {
+    let entry = announcement("w1", 1);
+    let config = TableConfig {
+        own_address: Some(entry.address),
+        ..TableConfig::default()
+    };
+    let mut table = Table::with_config("a".into(), config, 1);
+    assert!(!table.observe(Millis(1), entry));
+    assert_eq!(table.announcements().count(), 0);
+}
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -183,7 +183,8 @@
         let ready = bind(settings.ready).await?;
         let rpc = bind(own.rpc).await?;
         let metrics = Arc::new(Metrics::new());
-        let base = NodeBase::start(own, Role::Router, &timer, &metrics).await?;
+        let base =
+            NodeBase::start(own, Role::Router, Some(settings.listen), &timer, &metrics).await?;
         let control = base.control.clone();
         let gateway = Arc::new(build_gateway(settings, base, dialect, timer, metrics));
         let status = Arc::new(StatusHandler {
@@ -350,10 +351,12 @@
 }
 
 impl NodeBase {
-    /// Starts gossip and the tracking of upstreams and control replicas.
+    /// Starts gossip and the tracking of upstreams and control replicas. `own_address` is where a
+    /// router takes requests.
     async fn start(
         own: &NodeSettings,
         role: Role,
+        own_address: Option<SocketAddr>,
         timer: &Timer,
         metrics: &Arc<Metrics>,
     ) -> Result<Self, ProcessError> {
@@ -364,6 +367,7 @@
         let gossip = gossip.map_err(|source| ProcessError::Gossip { address, source })?;
         let rules = TableConfig {
             heartbeat_only: true,
+            own_address,
             stale_after: STALE_AFTER,
             ..TableConfig::default()
         };
@@ -467,7 +471,7 @@
         // Without a replica, it serves heartbeats and routes but no ledger.
         None => Role::Registry,
     };
-    let base = NodeBase::start(own, role, &timer, &metrics).await?;
+    let base = NodeBase::start(own, role, None, &timer, &metrics).await?;
     let registry = Arc::new(Registry {
         dialect: Arc::clone(&dialect),
         nodes: base.nodes.clone(),
