Sizes of prompt parts that callers send don't overflow the choice

Parts whose sizes add up to more than 2^64 panicked the request's task in builds that check for overflow, and gave a nonsensical cost in others. Sums saturate now. Case prompt_sizes_beyond_any_number_are_chosen_for failed first ('attempt to add with overflow').

--- a/crates/core/src/upstream/choice.rs
+++ b/crates/core/src/upstream/choice.rs
@@ -60,9 +60,10 @@
                 Some(session) if session == index => self.uncached_at_session_upstream(),
                 _ => self.uncached(row),
             };
-            let prefill = (row.pending_prefill + uncached) / self.config.prefill_rate.max(1);
+            let pending = row.pending_prefill.saturating_add(uncached);
+            let prefill = pending / self.config.prefill_rate.max(1);
             let queueing = u64::from(row.in_flight) * self.config.request_delay;
-            (prefill + queueing, index)
+            (prefill.saturating_add(queueing), index)
         })
     }
 
@@ -70,7 +71,8 @@
     /// prefix cached from requests of this and the other routers.
     fn uncached_at_session_upstream(&self) -> u64 {
         let shared = self.criteria.session_prefix.map_or(0, |index| index + 1);
-        self.criteria.sizes.iter().skip(shared).sum()
+        let rest = self.criteria.sizes.iter().skip(shared).copied();
+        rest.fold(0, u64::saturating_add)
     }
 
     /// Returns the upstream that all routers choose for this session without coordination: the one
@@ -87,7 +89,7 @@
         let segments = self.criteria.prefixes.iter().zip(sizes);
         let missing = segments
             .skip_while(|(hash, _)| row.prefix_cache.contains(self.now, **hash, self.config));
-        missing.map(|(_, size)| *size).sum()
+        missing.map(|(_, size)| *size).fold(0, u64::saturating_add)
     }
 
     /// Returns distinct random indices below `count`, or all of them if there are few.
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -466,7 +466,7 @@
     ) -> Option<Pick> {
         let row = self.rows.get_mut(&upstream)?;
         row.in_flight += 1;
-        row.pending_prefill += prefill;
+        row.pending_prefill = row.pending_prefill.saturating_add(prefill);
         row.suspected += u32::from(suspected);
         row.prefix_cache
             .record_routed(now, &criteria.prefixes, &self.config);
--- a/crates/core/tests/upstream_table.rs
+++ b/crates/core/tests/upstream_table.rs
@@ -320,6 +320,20 @@
         assert_ne!(table.choose(Millis(0), &prompt).expect("one").upstream.as_str(), "w4");
     }
 
+    prompt_sizes_beyond_any_number_are_chosen_for => {
+        let mut table = table(&["w1", "w2"]);
+        for session_prefix in [None, Some(0)] {
+            let odd = Criteria {
+                sizes: vec![1, u64::MAX, u64::MAX],
+                prefixes: vec![1, 2, 3],
+                session_prefix,
+                ..criteria()
+            };
+            assert!(table.choose(Millis(1), &odd).is_ok());
+            assert!(table.choose(Millis(1), &odd).is_ok());
+        }
+    }
+
     a_late_eviction_does_not_undo_a_newer_routing => {
         let mut table = table(&["w1", "w2", "w3", "w4", "w5", "w6"]);
         let prompt = Criteria { prefixes: vec![11], ..criteria() };
