--- a/crates/core/src/upstream/announce.rs
+++ b/crates/core/src/upstream/announce.rs
@@ -112,7 +112,9 @@
         if !is_unicast(self.address) {
             return Err(AnnouncementError::Address(self.address));
         }
-        if !(1..=MAX_SLOTS).contains(&self.slots) {
+        // An upstream that takes no more work may say so in both fields.
+        let least = u32::from(self.phase == Phase::Ready);
+        if !(least..=MAX_SLOTS).contains(&self.slots) {
             return Err(AnnouncementError::Slots(self.slots));
         }
         check_number("incarnation", self.incarnation.0, MAX_INCARNATION)?;
--- a/crates/core/tests/odd_announcements.rs
+++ b/crates/core/tests/odd_announcements.rs
@@ -124,6 +124,14 @@
         => AnnouncementError::Number { name: "incarnation", value: u64::MAX };
 }
 
+#[test]
+fn leave_without_slots_is_taken() {
+    let mut entry = announcement("w1", 2);
+    entry.slots = 0;
+    entry.phase = Phase::Leaving;
+    assert_eq!(entry.check(), Ok(()));
+}
+
 #[test]
 fn entry_at_the_limits_is_taken() {
     let mut entry = announcement(&"n".repeat(MAX_NAME_BYTES), MAX_SEQUENCE);
