--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -22,22 +22,17 @@
 use tokio::time::timeout_at;
 
 use crate::dialect::HopMetadata;
-use crate::dialect::NamedRate;
-use crate::dialect::ResponseMetadata;
 use crate::edges::http::AnswerBody;
-use crate::edges::http::AnswerFault;
 use crate::edges::http::NotRun;
 use crate::edges::http::ReplyBody;
-use crate::edges::http::Tie;
-use crate::edges::http::not_run::promises_not_run;
 use crate::edges::http::pool::Connection;
-use crate::edges::http::pool::ExchangeError;
 use crate::edges::http::pool::PoolKey;
 use crate::gateway::front::Gateway;
 use crate::gateway::front::kind_label;
 use crate::gateway::job::Job;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::stream;
+use crate::gateway::verdict;
 
 /// Maximum number of attempts of one request that reach an upstream, including refused ones.
 const MAX_SENDS: u32 = 3;
@@ -57,9 +52,6 @@
 /// Largest answer that is buffered until it is complete, in bytes. A larger one is streamed.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
-/// Longest wait for the rest of an upstream's refusal, so that its connection can be reused.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// An attempt in flight. If dropped before [`AttemptGuard::end`], it is recorded as
 /// [`AttemptOutcome::Neutral`], which says nothing about the upstream.
 pub struct AttemptGuard {
@@ -124,7 +116,8 @@
 }
 
 impl AttemptFailure {
-    fn not_run(refusal: Refusal, evidence: NotRun) -> Self {
+    /// Returns the failure of an attempt that did not run.
+    pub fn not_run(refusal: Refusal, evidence: NotRun) -> Self {
         Self {
             refusal,
             not_run: Some(evidence),
@@ -132,7 +125,8 @@
         }
     }
 
-    fn maybe_ran(refusal: Refusal) -> Self {
+    /// Returns the failure of an attempt that may have run.
+    pub fn maybe_ran(refusal: Refusal) -> Self {
         Self {
             refusal,
             not_run: None,
@@ -217,8 +211,8 @@
     let sending = timeout_at(deadline, connection.send(request)).await;
     let response = match sending {
         Ok(Ok(response)) => response,
-        Ok(Err(error)) => return Err(on_broken(job, attempt, &error)),
-        Err(_) => return Err(on_timeout(job, attempt)),
+        Ok(Err(error)) => return Err(verdict::on_broken(job, attempt, &error)),
+        Err(_) => return Err(verdict::on_timeout(job, attempt)),
     };
     let (head, incoming) = response.into_parts();
     let body = match job.route.kind.is_stream() && head.status == StatusCode::OK {
@@ -227,7 +221,6 @@
     };
     job.gateway.metrics.framings.add(body.framing().label());
     let metadata = job.gateway.dialect.read_answer(head.status, &head.headers);
-    count_answer_id(job, &metadata, &connection);
     let opened = OpenResponse {
         attempt,
         connection,
@@ -235,29 +228,7 @@
         body,
         received: Bytes::new(),
     };
-    let sent_id = &job.metadata.attempt_id;
-    let answered_id = metadata.attempt_id.as_deref();
-    let Some(tie) = Tie::of(sent_id, answered_id, opened.connection.exchanges) else {
-        return Err(on_unmatched(job, &metadata, opened));
-    };
-    if let Some(load) = metadata.load {
-        let upstreams = &job.gateway.upstreams;
-        upstreams.update_load(&opened.attempt.pick, load);
-    }
-    if metadata.not_run {
-        // Another upstream at the address names its own rate.
-        if opened.head.status != StatusCode::MISDIRECTED_REQUEST {
-            record_rate(job, &opened.attempt.pick, &metadata);
-        }
-        return Err(on_refused(job, opened, tie));
-    }
-    if !is_genuine(&metadata, opened.head.status) {
-        return Err(on_foreign(job, opened));
-    }
-    record_rate(job, &opened.attempt.pick, &metadata);
-    if promises_not_run(opened.head.status) {
-        return Err(on_unstated(job, opened));
-    }
+    let opened = verdict::check_head(job, &metadata, opened)?;
     if opened.head.status.is_success() {
         let upstreams = &job.gateway.upstreams;
         upstreams.record_answer_head(opened.attempt.pick.attempt);
@@ -268,35 +239,6 @@
     }
 }
 
-/// Counts whether an answer repeats the id of the request for which it arrived.
-fn count_answer_id(job: &Job, metadata: &ResponseMetadata, connection: &Connection) {
-    job.gateway
-        .metrics
-        .answer_ids
-        .add(match &metadata.attempt_id {
-            Some(id) if *id == job.metadata.attempt_id => "own",
-            Some(_) => "other",
-            None if connection.exchanges > 0 => "absent_kept",
-            None => "absent_new",
-        });
-}
-
-/// Records the rate of requests that an answer names. A refusal that names none says nothing of it,
-/// nor does an answer without a signature.
-fn record_rate(job: &Job, pick: &Pick, metadata: &ResponseMetadata) {
-    let rate = match metadata.rate {
-        NamedRate::Limit(rate) => Some(rate),
-        NamedRate::Absent if metadata.not_run || !metadata.signed => return,
-        NamedRate::Absent => None,
-        NamedRate::Invalid => {
-            job.gateway.metrics.rates.add("invalid");
-            log::warn!(target: "upstream", id = &*job.metadata.attempt_id, upstream:% = pick.upstream; "invalid rate limit ignored");
-            None
-        }
-    };
-    job.gateway.nodes.observe_rate(pick, rate);
-}
-
 /// Obtains a share of the rate of the upstream that suits the request best, if that is at its rate
 /// and the owner may grant one soon.
 async fn acquire_share(job: &Job) {
@@ -434,137 +376,6 @@
     }
 }
 
-/// Returns whether an answer that is tied to the request comes from an upstream: a successful one has
-/// to be signed. An interim answer is none.
-fn is_genuine(metadata: &ResponseMetadata, status: StatusCode) -> bool {
-    !status.is_informational() && (metadata.signed || !status.is_success())
-}
-
-/// Handles a connection that failed before the answer was complete.
-fn on_broken(job: &mut Job, attempt: AttemptGuard, error: &ExchangeError) -> AttemptFailure {
-    log::info!(target: "upstream", id = &*job.metadata.attempt_id, upstream:% = attempt.pick.upstream, parts = job.log_parts().as_str(), error:% = error; "attempt broke off");
-    let Some(evidence) = NotRun::from_exchange(error) else {
-        job.reason = "broken";
-        attempt.end(AttemptOutcome::Broken);
-        return AttemptFailure::maybe_ran(Refusal::AnswerLost);
-    };
-    job.reason = "closed_before";
-    // The same upstream may be tried again.
-    job.tried.pop();
-    job.sends -= 1;
-    if let Some(charge) = &mut job.charge {
-        charge.mark_not_run(evidence);
-    }
-    drop(attempt);
-    AttemptFailure::not_run(Refusal::NoUpstream, evidence)
-}
-
-/// Handles an answer that is not tied to the request, so that it says nothing of it or of the
-/// upstream. The rest of the connection can't be trusted, and it is closed.
-fn on_unmatched(
-    job: &mut Job,
-    metadata: &ResponseMetadata,
-    opened: OpenResponse,
-) -> AttemptFailure {
-    job.reason = "unmatched_answer";
-    log::info!(
-        target: "upstream",
-        id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream,
-        status = opened.head.status.as_u16(),
-        answer_id = metadata.attempt_id.as_deref().unwrap_or(""),
-        exchanges = opened.connection.exchanges, states_not_run = metadata.not_run;
-        "answer is not tied to the request"
-    );
-    opened.attempt.end(AttemptOutcome::Unmatched);
-    AttemptFailure::maybe_ran(Refusal::AnswerLost)
-}
-
-/// Handles a success without the signature of an upstream, or an interim answer in place of one.
-fn on_foreign(job: &mut Job, opened: OpenResponse) -> AttemptFailure {
-    job.reason = "foreign_answer";
-    log::info!(
-        target: "upstream",
-        id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream,
-        status = opened.head.status.as_u16();
-        "answer is not genuine"
-    );
-    opened.attempt.end(AttemptOutcome::Broken);
-    AttemptFailure::maybe_ran(Refusal::AnswerLost)
-}
-
-/// Handles an answer whose status would promise the caller that the request was not run, which the
-/// upstream did not state.
-fn on_unstated(job: &mut Job, opened: OpenResponse) -> AttemptFailure {
-    job.reason = "unstated";
-    log::info!(
-        target: "upstream",
-        id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream,
-        status = opened.head.status.as_u16();
-        "answer does not state that the request was not run"
-    );
-    opened.attempt.end(AttemptOutcome::Neutral);
-    drain(job, opened.connection, opened.head, opened.body);
-    AttemptFailure::maybe_ran(Refusal::AnswerLost)
-}
-
-/// Handles an answer that is not complete.
-fn on_fault(job: &mut Job, attempt: AttemptGuard, fault: &AnswerFault) -> AttemptFailure {
-    log::info!(target: "upstream", id = &*job.metadata.attempt_id, upstream:% = attempt.pick.upstream, parts = job.log_parts().as_str(), error:% = fault; "answer is not complete");
-    job.gateway.metrics.faults.add(fault.label());
-    job.reason = fault.label();
-    attempt.end(AttemptOutcome::Broken);
-    AttemptFailure::maybe_ran(Refusal::AnswerLost)
-}
-
-/// Handles an upstream that did not answer in time.
-fn on_timeout(job: &mut Job, attempt: AttemptGuard) -> AttemptFailure {
-    job.reason = "late";
-    log::info!(target: "upstream", id = &*job.metadata.attempt_id, upstream:% = attempt.pick.upstream, ms = job.elapsed().0; "no answer in time");
-    attempt.end(AttemptOutcome::TimedOut);
-    AttemptFailure::maybe_ran(Refusal::AnswerLate)
-}
-
-/// Handles an answer by which the upstream states that it did not run the request.
-fn on_refused(job: &mut Job, mut opened: OpenResponse, tie: Tie) -> AttemptFailure {
-    let status = opened.head.status;
-    let evidence = NotRun::from_answer(tie);
-    job.reason = "refused";
-    log::info!(
-        target: "upstream",
-        id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream,
-        status = status.as_u16(), tie = tie.label(), exchanges = opened.connection.exchanges;
-        "attempt refused"
-    );
-    if let Some(charge) = &mut job.charge {
-        charge.mark_not_run(evidence);
-    }
-    let id = std::sync::Arc::clone(&job.metadata.attempt_id);
-    opened.connection.record_refusal(id);
-    let outcome = match status {
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => AttemptOutcome::Overload,
-        // Another upstream has taken over the address.
-        StatusCode::MISDIRECTED_REQUEST => AttemptOutcome::Unreachable,
-        _ => AttemptOutcome::Neutral,
-    };
-    opened.attempt.end(outcome);
-    drain(job, opened.connection, opened.head, opened.body);
-    let refusal = match outcome {
-        AttemptOutcome::Neutral => Refusal::NoUpstream,
-        _ => Refusal::Full,
-    };
-    AttemptFailure::not_run(refusal, evidence)
-}
-
-/// Reads the rest of an answer in the background, so that its connection can be reused.
-fn drain(job: &Job, connection: Connection, head: response::Parts, body: AnswerBody) {
-    let pool = job.gateway.pool.clone();
-    tokio::spawn(async move {
-        if body.drain(DRAIN_TIMEOUT).await {
-            pool.keep(connection, &head.headers);
-        }
-    });
-}
-
 /// Buffers a whole answer before any of it is forwarded, so that a broken one can be retried or
 /// reported as an error. Answers larger than [`MAX_BUFFERED_BYTES`] are returned as streams.
 async fn read_whole(
@@ -575,8 +386,8 @@
     let reading = opened.body.read_up_to(MAX_BUFFERED_BYTES);
     let (buffer, is_complete) = match timeout_at(deadline, reading).await {
         Ok(Ok(read)) => read,
-        Ok(Err(fault)) => return Err(on_fault(job, opened.attempt, &fault)),
-        Err(_) => return Err(on_timeout(job, opened.attempt)),
+        Ok(Err(fault)) => return Err(verdict::on_fault(job, opened.attempt, &fault)),
+        Err(_) => return Err(verdict::on_timeout(job, opened.attempt)),
     };
     if !is_complete {
         opened.received = buffer;
@@ -623,8 +434,8 @@
             Ok(AttemptResponse::Stream(Box::new(opened)))
         }
         Ok(Ok(None)) => Ok(AttemptResponse::Stream(Box::new(opened))),
-        Ok(Err(fault)) => Err(on_fault(job, opened.attempt, &fault)),
-        Err(_) => Err(on_timeout(job, opened.attempt)),
+        Ok(Err(fault)) => Err(verdict::on_fault(job, opened.attempt, &fault)),
+        Err(_) => Err(verdict::on_timeout(job, opened.attempt)),
     }
 }
 
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! A request takes these steps. [`front`] finds its route and workspace, reads its body and
 //! reserves its tokens ([`charge`]), which it may borrow from other routers ([`loans`]).
-//! [`exchange`] sends it to upstreams until one answers. [`stream`] forwards the events of a
+//! [`exchange`] sends it to upstreams until one answers; `verdict` decides what an answer, or the
+//! lack of one, says of an attempt. [`stream`] forwards the events of a
 //! streamed answer and resumes a broken stream where the route allows it. A [`job`] holds the state
 //! of one request, and a [`refusal`] is an error answer of the router itself.
 //!
@@ -19,3 +20,4 @@
 pub mod registry;
 pub mod status;
 pub mod stream;
+mod verdict;
