--- a/crates/fleet/src/edges/http/pool.rs
+++ b/crates/fleet/src/edges/http/pool.rs
@@ -130,9 +130,8 @@
         let now = Instant::now();
         let mut all = self.lock();
         let idle = all.get_mut(&key)?;
-        idle.retain(|one| now < one.expires && one.connection.sender.is_ready());
-        let was_refused = |one: &Idle| one.connection.refused.iter().any(|id| **id == *request);
-        while let Some(found) = idle.iter().rposition(|one| !was_refused(one)) {
+        idle.retain(|one| now < one.expires && !one.connection.sender.is_closed());
+        while let Some(found) = idle.iter().rposition(|one| one.connection.suits(request)) {
             let connection = idle.remove(found).connection;
             // What has arrived belongs to no request, and a closed connection loses one.
             if connection.probe.is_quiet() {
@@ -181,6 +180,11 @@
 }
 
 impl Connection {
+    /// Returns whether a request with this id can be sent now, and no request with it was refused.
+    fn suits(&self, request: &str) -> bool {
+        self.sender.is_ready() && !self.refused.iter().any(|id| **id == *request)
+    }
+
     /// Records that the request with this id was refused, so that a copy of the refusal is not taken
     /// for an answer to another request with the same id.
     pub fn record_refusal(&mut self, request: Arc<str>) {
