Test: addresses of a test are its process's own

The port came from the range of outgoing connections of 127.0.0.1, where any connection of another process may take it. The address has an IP of its own for each process now.

--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod control;
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -354,8 +355,11 @@
     .unwrap()
 }
 
-/// Returns a loopback address whose port was free a moment ago.
+/// Returns a loopback address whose port was free a moment ago. Its IP address is that of this process,
+/// so that no outgoing connection of another one takes the port in between.
 async fn free_address() -> String {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 1, high, low);
+    let listener = tokio::net::TcpListener::bind((ip, 0)).await.unwrap();
     listener.local_addr().unwrap().to_string()
 }
