Chats: an id of the engine's own in the first answer of a connection is none

By review: engines and proxies that set x-request-id themselves would have had every chat, also over a new connection, taken for unknown, and their cancels never acknowledged. An id that is not the request's counts as none: the first answer of a connection is believed and the connection retired; a later one is not believed.

--- a/crates/fleet/src/edges/http/counted.rs
+++ b/crates/fleet/src/edges/http/counted.rs
@@ -169,17 +169,16 @@
 }
 
 /// Returns what ties an answer to the request that it arrived for. `id` is the id that the request
-/// was sent with in [`REQUEST_ID_HEADER`], if any.
+/// was sent with in [`REQUEST_ID_HEADER`], if any. Engines may set ids of their own there, which count as
+/// none.
 pub fn tie<B>(response: &Response<B>, id: Option<&str>) -> Option<Tie> {
     let origin = response.extensions().get::<Origin>()?;
     let Some(id) = id else {
         return Tie::of("", None, origin.earlier);
     };
-    match response.headers().get(REQUEST_ID_HEADER) {
-        None => Tie::of(id, None, origin.earlier),
-        // An id that is not text differs from any that was sent.
-        Some(answered) => Tie::of(id, Some(answered.to_str().ok()?), origin.earlier),
-    }
+    let answered = response.headers().get(REQUEST_ID_HEADER);
+    let own = answered.is_some_and(|answered| answered.as_bytes() == id.as_bytes());
+    Tie::of(id, own.then_some(id), origin.earlier)
 }
 
 /// Closes the connection of an answer once its body is read or dropped.
