Refuse heartbeats whose start is in the future

By review: a start of 2^53-1 at the address of a sound upstream passed the check and took its place for ten minutes.

--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use bytes::Bytes;
 use chestnutnotch_core::command::Command;
@@ -13,6 +14,7 @@
 use chestnutnotch_core::route::Prepaid;
 use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::upstream::Announcement;
+use chestnutnotch_core::upstream::AnnouncementError;
 use chestnutnotch_core::upstream::Phase;
 use chestnutnotch_core::upstream::announce::MAX_SEQUENCE;
 use http::HeaderValue;
@@ -42,6 +44,9 @@
 /// Longest wait for a quorum. Callers switch to another host after a second without an answer.
 const QUORUM_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Furthest that an upstream's clock may be ahead of this host's.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Largest set of routes, in bytes: the limit of one command in the replicated log.
 const MAX_ROUTES_BYTES: usize = 8 << 20;
 
@@ -115,6 +120,7 @@
                 let body = read_body(body, MAX_ANNOUNCEMENT_BYTES).await?;
                 let announcement = self.dialect.decode_heartbeat(upstream, &body)?;
                 announcement.check().map_err(DocumentError::from)?;
+                check_start(announcement.incarnation).map_err(DocumentError::from)?;
                 self.nodes.announce(announcement);
                 Ok(EMPTY_JSON)
             }
@@ -182,6 +188,21 @@
     }
 }
 
+/// Checks that an upstream's start, in Unix milliseconds, is not in the future. A later start at the same
+/// address, or of the same name, would not be believed.
+fn check_start(started: Incarnation) -> Result<(), AnnouncementError> {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    // A clock before 1970 says nothing of the start.
+    let latest = now.map_or(u128::MAX, |now| (now + MAX_CLOCK_DIFFERENCE).as_millis());
+    match u128::from(started.0) <= latest {
+        true => Ok(()),
+        false => Err(AnnouncementError::Number {
+            name: "incarnation",
+            value: started.0,
+        }),
+    }
+}
+
 const EMPTY_JSON: Bytes = Bytes::from_static(b"{}");
 
 /// Returns the total of each prepaid budget in a plan.
