--- a/crates/fleet/src/filters/call.rs
+++ b/crates/fleet/src/filters/call.rs
@@ -380,7 +380,7 @@
                     id = call.identity.id.key.as_str(), address:% = pick.address, status;
                     "answer is not tied to the request"
                 );
-                chain.upstreams.end(pick.attempt, AttemptOutcome::Neutral);
+                chain.upstreams.end(pick.attempt, AttemptOutcome::Unmatched);
                 return CallAttempt::Unknown;
             };
             let answer = chain.read_answer(response, chain.time_left(call)).await;
--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -375,7 +375,7 @@
         match error {
             OpenError::Send(error) => self.send_failed(open, error),
             OpenError::Refused(status, proof) => self.status_refused(open, *status, *proof),
-            OpenError::Untied(_) => self.end_unknown(open, AttemptOutcome::Neutral),
+            OpenError::Untied(_) => self.end_unknown(open, AttemptOutcome::Unmatched),
             OpenError::ContentType => self.end_unknown(open, AttemptOutcome::Broken),
         }
     }
--- a/crates/fleet/src/gateway/front.rs
+++ b/crates/fleet/src/gateway/front.rs
@@ -187,6 +187,7 @@
         id: &str,
         start: Millis,
     ) -> Response<ReplyBody> {
+        let evidence = NotRun::not_begun();
         let name = route.map_or("", |route| &*route.name);
         let kind = route.map_or("none", |route| kind_label(route.kind));
         self.metrics.requests.add(refusal.code());
@@ -195,11 +196,11 @@
             target: "request",
             id, route = name, status = refusal.status().as_u16(), code = refusal.code(),
             routes = self.routes.current().map_or(0, |routes| routes.version()),
-            ms = self.timer.now().saturating_sub(start).0;
+            ms = self.timer.now().saturating_sub(start).0, not_run = evidence.label();
             "refused"
         );
         let target = route.map_or(Millis::ZERO, |route| route.target_latency);
-        refusal.response(target, Some(NotRun::not_begun()))
+        refusal.response(target, Some(evidence))
     }
 
     /// Finds the route by the host and path of the request.
