Keep only connections whose answers can be told apart

By review: a connection was barred only for ids that had been refused over it, so a copy of a success was taken for the answer to a later request with the same id; and a connection without ids in its answers was kept, so that every second request of such an upstream got 502. A connection now remembers the ids of all requests that it was taken for (256, then it is not kept) and is kept only if the answer repeated the id. A bare 503 or 429 pauses the upstream like a refusal.

--- a/crates/fleet/src/edges/http/pool.rs
+++ b/crates/fleet/src/edges/http/pool.rs
@@ -4,6 +4,8 @@
 //! connections to an earlier incarnation are never reused. Only connections whose response was read
 //! to its end return to the pool.
 
+use std::hash::DefaultHasher;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -44,8 +46,8 @@
 /// Bound on the idle connections to one incarnation of an upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 32;
 
-/// Number of refused requests after which a connection is not kept, which bounds what it remembers.
-const MAX_REFUSED: usize = 64;
+/// Number of requests after which a connection is not kept, which bounds what it remembers.
+const MAX_EXCHANGES: usize = 256;
 
 /// Bound on the head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -89,8 +91,11 @@
     key: PoolKey,
     /// Number of requests that were answered over this connection.
     pub exchanges: u32,
-    /// Ids of the requests that were refused over this connection.
-    refused: Vec<Arc<str>>,
+    /// Whether the last answer was tied to its request by the id. Without ids, no later answer could
+    /// be tied, so the connection is not kept.
+    pub has_ids: bool,
+    /// Hashes of the ids of the requests that it was taken for.
+    carried: Vec<u64>,
 }
 
 /// An idle connection and the time until which it may be reused.
@@ -108,30 +113,34 @@
 
 impl Pool {
     /// Returns an idle connection on which a left-over answer can be told from one to the request
-    /// with the id `request`, or opens one if there is none. A request without an id always gets a
-    /// new one.
+    /// with the id `request`, as no other one with that id was sent over it. Opens one if there is
+    /// none. A request without an id always gets a new one.
     ///
     /// # Errors
     ///
     /// [`ExchangeError::Unreachable`] if no connection is made.
     pub async fn connect(&self, key: PoolKey, request: &str) -> Result<Connection, ExchangeError> {
-        match self.take_idle(key, request) {
-            Some(connection) => Ok(connection),
-            None => open_connection(key).await,
-        }
+        let id = hash_id(request);
+        let idle = match request {
+            "" => None,
+            _ => self.take_idle(key, id),
+        };
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => open_connection(key).await?,
+        };
+        connection.carried.push(id);
+        Ok(connection)
     }
 
-    /// Removes the most recently used idle connection that is still open and not expired, and over
-    /// which no request with the same id was refused.
-    fn take_idle(&self, key: PoolKey, request: &str) -> Option<Connection> {
-        if request.is_empty() {
-            return None;
-        }
+    /// Removes the most recently used idle connection that is still open and not expired, and that
+    /// was not taken for a request with this id.
+    fn take_idle(&self, key: PoolKey, id: u64) -> Option<Connection> {
         let now = Instant::now();
         let mut all = self.lock();
         let idle = all.get_mut(&key)?;
         idle.retain(|one| now < one.expires && !one.connection.sender.is_closed());
-        while let Some(found) = idle.iter().rposition(|one| one.connection.suits(request)) {
+        while let Some(found) = idle.iter().rposition(|one| one.connection.suits(id)) {
             let connection = idle.remove(found).connection;
             // What has arrived belongs to no request, and a closed connection loses one.
             if connection.probe.is_quiet() {
@@ -142,11 +151,15 @@
     }
 
     /// Returns a connection to the pool once the response with these headers was read to its end.
-    /// Closes it instead if the upstream asks for that or has closed it, the upstream's idle limit
-    /// is too short, or the pool is full.
+    /// Closes it instead if the upstream asks for that or has closed it, repeats no ids, has a too
+    /// short idle limit, or if the pool or the connection's memory of ids is full.
     pub fn keep(&self, mut connection: Connection, headers: &HeaderMap) {
-        let is_full = connection.refused.len() >= MAX_REFUSED;
-        if is_full || requests_close(headers) || connection.sender.is_closed() {
+        let is_full = connection.carried.len() >= MAX_EXCHANGES;
+        if is_full
+            || !connection.has_ids
+            || requests_close(headers)
+            || connection.sender.is_closed()
+        {
             return;
         }
         let lifetime = idle_timeout(headers).saturating_sub(IDLE_MARGIN);
@@ -180,15 +193,10 @@
 }
 
 impl Connection {
-    /// Returns whether a request with this id can be sent now, and no request with it was refused.
-    fn suits(&self, request: &str) -> bool {
-        self.sender.is_ready() && !self.refused.iter().any(|id| **id == *request)
-    }
-
-    /// Records that the request with this id was refused, so that a copy of the refusal is not taken
-    /// for an answer to another request with the same id.
-    pub fn record_refusal(&mut self, request: Arc<str>) {
-        self.refused.push(request);
+    /// Returns whether a request with this id can be sent now, and the connection was not taken for
+    /// one with the same id.
+    fn suits(&self, id: u64) -> bool {
+        self.sender.is_ready() && !self.carried.contains(&id)
     }
 
     /// Sends a request and waits for the head of the response.
@@ -239,10 +247,17 @@
         probe,
         key,
         exchanges: 0,
-        refused: Vec::new(),
+        has_ids: false,
+        carried: Vec::new(),
     })
 }
 
+fn hash_id(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    hasher.write(id.as_bytes());
+    hasher.finish()
+}
+
 /// Returns whether the `Connection` header asks to close the connection after this response.
 fn requests_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
--- a/crates/fleet/src/gateway/verdict.rs
+++ b/crates/fleet/src/gateway/verdict.rs
@@ -2,7 +2,6 @@
 //!
 //! What proves that an attempt did not run is [`NotRun`]; everything else may have run.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use chestnutnotch_core::upstream::AttemptOutcome;
@@ -37,7 +36,7 @@
 pub(super) fn check_head(
     job: &mut Job,
     metadata: &ResponseMetadata,
-    opened: OpenResponse,
+    mut opened: OpenResponse,
 ) -> Result<OpenResponse, AttemptFailure> {
     count_answer_id(job, metadata, &opened.connection);
     let sent_id = &job.metadata.attempt_id;
@@ -46,6 +45,7 @@
     let Some(tie) = Tie::of(sent_id, answered_id, opened.connection.exchanges) else {
         return Err(on_unmatched(job, metadata, opened));
     };
+    opened.connection.has_ids = tie == Tie::Id;
     if let Some(load) = metadata.load {
         let upstreams = &job.gateway.upstreams;
         upstreams.update_load(&opened.attempt.pick, load);
@@ -168,11 +168,21 @@
         status = opened.head.status.as_u16();
         "answer does not state that the request was not run"
     );
-    opened.attempt.end(AttemptOutcome::Neutral);
+    opened.attempt.end(outcome_of(opened.head.status));
     drain(job, opened.connection, opened.head, opened.body);
     AttemptFailure::maybe_ran(Refusal::AnswerLost)
 }
 
+/// Returns what the status of an answer without a result says of the upstream.
+fn outcome_of(status: StatusCode) -> AttemptOutcome {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => AttemptOutcome::Overload,
+        // Another upstream has taken over the address.
+        StatusCode::MISDIRECTED_REQUEST => AttemptOutcome::Unreachable,
+        _ => AttemptOutcome::Neutral,
+    }
+}
+
 /// Handles an answer that is not complete.
 pub(super) fn on_fault(
     job: &mut Job,
@@ -195,7 +205,7 @@
 }
 
 /// Handles an answer by which the upstream states that it did not run the request.
-fn on_refused(job: &mut Job, mut opened: OpenResponse, tie: Tie) -> AttemptFailure {
+fn on_refused(job: &mut Job, opened: OpenResponse, tie: Tie) -> AttemptFailure {
     let status = opened.head.status;
     let evidence = NotRun::from_answer(tie);
     job.reason = "refused";
@@ -208,14 +218,7 @@
     if let Some(charge) = &mut job.charge {
         charge.mark_not_run(evidence);
     }
-    let id = Arc::clone(&job.metadata.attempt_id);
-    opened.connection.record_refusal(id);
-    let outcome = match status {
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => AttemptOutcome::Overload,
-        // Another upstream has taken over the address.
-        StatusCode::MISDIRECTED_REQUEST => AttemptOutcome::Unreachable,
-        _ => AttemptOutcome::Neutral,
-    };
+    let outcome = outcome_of(status);
     opened.attempt.end(outcome);
     drain(job, opened.connection, opened.head, opened.body);
     let refusal = match outcome {
--- a/crates/fleet/tests/pool.rs
+++ b/crates/fleet/tests/pool.rs
@@ -58,9 +58,10 @@
 }
 
 /// Keeps a connection after an answer, lets the upstream do something to it while the router does
-/// not run, and checks whether it is used for the request `next`.
+/// not run, and checks whether it is used for the request `next`. `ids` is whether the answer repeated
+/// the id of its request.
 macro_rules! used_again {
-    ($($name:ident: $later:expr, $next:literal => $expected:literal;)*) => {$(
+    ($($name:ident: $later:expr, $ids:literal, $next:literal => $expected:literal;)*) => {$(
         #[tokio::test]
         async fn $name() {
             let (address, start, finished) = start_upstream($later);
@@ -68,7 +69,7 @@
             let pool = Pool::default();
             let mut connection = pool.connect(key, "first").await.unwrap();
             exchange(&mut connection).await;
-            connection.record_refusal("refused".into());
+            connection.has_ids = $ids;
             pool.keep(connection, &HeaderMap::new());
             start.send(()).unwrap();
             finished.recv().unwrap();
@@ -80,9 +81,10 @@
 }
 
 used_again! {
-    quiet_connection_is_used_again: |_| {}, "next" => true;
-    connection_with_bytes_that_nobody_asked_for_is_not_used_again: |stream| stream.write_all(ANSWER).unwrap(), "next" => false;
-    connection_that_the_upstream_closed_is_not_used_again: |stream| stream.shutdown(Shutdown::Write).unwrap(), "next" => false;
-    connection_is_not_used_for_an_id_that_was_refused_on_it: |_| {}, "refused" => false;
-    connection_is_not_used_for_a_request_without_an_id: |_| {}, "" => false;
+    quiet_connection_is_used_again: |_| {}, true, "next" => true;
+    connection_with_bytes_that_nobody_asked_for_is_not_used_again: |stream| stream.write_all(ANSWER).unwrap(), true, "next" => false;
+    connection_that_the_upstream_closed_is_not_used_again: |stream| stream.shutdown(Shutdown::Write).unwrap(), true, "next" => false;
+    connection_is_not_used_for_an_id_that_was_sent_over_it: |_| {}, true, "first" => false;
+    connection_of_an_upstream_that_repeats_no_ids_is_not_used_again: |_| {}, false, "next" => false;
+    connection_is_not_used_for_a_request_without_an_id: |_| {}, true, "" => false;
 }
