--- a/crates/fleet/src/edges/http/mod.rs
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -5,7 +5,8 @@
 //! responses, [`read`] reads the bodies of requests and [`answer`] those of upstreams' answers, of
 //! which it decides whether they are complete. All of them bound bytes and time. [`not_run`] is the
 //! evidence that an upstream did not run a request. [`framing`] tells how the end of a body is
-//! marked, and [`events`] splits a body of server-sent events.
+//! marked, and [`events`] splits a body of server-sent events. [`shared`] lets [`pool`] look at a
+//! connection before it is used again.
 
 pub mod answer;
 pub mod body;
--- a/crates/fleet/src/edges/http/not_run.rs
+++ b/crates/fleet/src/edges/http/not_run.rs
@@ -22,7 +22,7 @@
 impl Tie {
     /// Returns what ties an answer to the request with the id `sent`, which is empty if it has none.
     /// `answered` is the id in the answer, `exchanges` the number of answers that came before over
-    /// the connection. No earlier request on it may have had the same id and been refused.
+    /// the connection. No other request with the same id may have been sent over it.
     pub fn of(sent: &str, answered: Option<&str>, exchanges: u32) -> Option<Self> {
         match answered {
             None | Some("") => (exchanges == 0).then_some(Self::First),
