Log and count the pauses that upstreams ask for

The lines of a refused attempt did not tell whether the upstream asked for a pause, so that the hypotheses of the incident can't be told apart. No change of what is sent.

--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -46,6 +46,7 @@
 use tokio::sync::watch;
 
 use crate::edges::http::HttpClient;
+use crate::edges::http::RequestedPause;
 use crate::edges::http::client::Call;
 use crate::edges::http::read_answer;
 use crate::metrics::Metrics;
@@ -248,6 +249,25 @@
         );
     }
 
+    /// Logs the pause that the answer to an attempt asks for, if it does. `id` is that of the request.
+    pub fn observe_pause(&self, pick: &Pick, id: &str, pause: RequestedPause) {
+        let length = match pause {
+            RequestedPause::Absent => return,
+            RequestedPause::Invalid => {
+                self.metrics.pauses.add("invalid");
+                log::warn!(target: "upstream", id, upstream:% = pick.upstream; "invalid pause ignored");
+                return;
+            }
+            RequestedPause::Lasts(length) => length,
+        };
+        self.metrics.pauses.add("asked");
+        log::info!(
+            target: "upstream",
+            id, upstream:% = pick.upstream, start = pick.incarnation.0, length = length.0;
+            "upstream asked for a pause"
+        );
+    }
+
     /// Records that the head of a successful answer to an attempt has arrived.
     pub fn record_answer_head(&self, attempt: AttemptId) {
         let now = self.timer.now();
--- a/crates/fleet/src/edges/http/mod.rs
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -4,7 +4,7 @@
 //! [`counted`] counts the answers over a connection of [`client`], [`body`] holds the bodies of
 //! responses, [`read`] reads the bodies of requests and [`answer`] those of upstreams' answers, of
 //! which it decides whether they are complete. All of them bound bytes and time. [`not_run`] is the
-//! evidence that an upstream did not run a request. [`framing`] tells how the end of a body is
+//! evidence that an upstream did not run a request, and [`pause`] the time for which it wants none. [`framing`] tells how the end of a body is
 //! marked, and [`events`] splits a body of server-sent events. [`shared`] lets [`pool`] look at a
 //! connection before it is used again.
 
@@ -17,6 +17,7 @@
 pub mod framing;
 pub mod interim;
 pub mod not_run;
+pub mod pause;
 pub mod pool;
 pub mod read;
 pub mod server;
@@ -33,5 +34,6 @@
 pub use framing::Framing;
 pub use not_run::NotRun;
 pub use not_run::Tie;
+pub use pause::RequestedPause;
 pub use read::ReadError;
 pub use read::read_bounded;
--- a/crates/fleet/src/gateway/verdict.rs
+++ b/crates/fleet/src/gateway/verdict.rs
@@ -14,6 +14,7 @@
 use crate::edges::http::AnswerBody;
 use crate::edges::http::AnswerFault;
 use crate::edges::http::NotRun;
+use crate::edges::http::RequestedPause;
 use crate::edges::http::Tie;
 use crate::edges::http::not_run::promises_not_run;
 use crate::edges::http::pool::Connection;
@@ -51,16 +52,16 @@
         upstreams.update_load(&opened.attempt.pick, load);
     }
     if metadata.not_run {
-        // Another upstream at the address names its own rate.
+        // Another upstream at the address speaks for itself.
         if status != StatusCode::MISDIRECTED_REQUEST {
-            record_rate(job, &opened.attempt.pick, metadata);
+            record_wishes(job, metadata, &opened);
         }
         return Err(on_refused(job, opened, tie));
     }
     if !is_genuine(metadata, status) {
         return Err(on_foreign(job, opened));
     }
-    record_rate(job, &opened.attempt.pick, metadata);
+    record_wishes(job, metadata, &opened);
     match promises_not_run(status) {
         true => Err(on_unstated(job, opened)),
         false => Ok(opened),
@@ -80,6 +81,15 @@
         });
 }
 
+/// Records what an answer of the chosen upstream says of the requests that it wants.
+fn record_wishes(job: &Job, metadata: &ResponseMetadata, opened: &OpenResponse) {
+    let pick = &opened.attempt.pick;
+    record_rate(job, pick, metadata);
+    let pause = RequestedPause::read(opened.head.status, &opened.head.headers);
+    let upstreams = &job.gateway.upstreams;
+    upstreams.observe_pause(pick, &job.metadata.attempt_id, pause);
+}
+
 /// Records the rate of requests that an answer names. A refusal that names none says nothing of it,
 /// nor does an answer without a signature.
 fn record_rate(job: &Job, pick: &Pick, metadata: &ResponseMetadata) {
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -89,6 +89,8 @@
     pub loans: OutcomeCounter,
     /// Rates that upstreams named, and what became of requests for upstreams with one.
     pub rates: OutcomeCounter,
+    /// Pauses that upstreams asked for, and what became of requests for paused upstreams.
+    pub pauses: OutcomeCounter,
     /// Pass-through requests by kind of route and outcome.
     pass_through: Family<PassThroughLabel, Counter>,
     /// Latency of answers to pass-through requests.
@@ -157,6 +159,7 @@
             plan_fetches: OutcomeCounter::default(),
             loans: OutcomeCounter::default(),
             rates: OutcomeCounter::default(),
+            pauses: OutcomeCounter::default(),
             pass_through: Family::default(),
             latency: Family::new_with_constructor(latency),
             run_delay: Family::new_with_constructor(latency),
@@ -202,6 +205,11 @@
             ),
             ("loans", "Requests for other routers' tokens", &self.loans),
             ("upstream_rates", "Rates named by upstreams", &self.rates),
+            (
+                "upstream_pauses",
+                "Pauses that upstreams asked for",
+                &self.pauses,
+            ),
         ];
         for (name, help, results) in counters {
             self.registry.register(name, help, results.0.clone());
