Keep the pauses that upstreams ask for

Callers saw 503 from upstreams that had asked for rest, and upstreams got requests in it. Cause: nothing read Retry-After. A refusal for overload had the upstream count as full for 250 ms, and a full upstream is the last resort. A pause now belongs to one start of an upstream at one router; until its end the upstream is no candidate for anything: first attempts, retries, resumes, trials of a breaker, probes, the last resort, attempts that waited for a connection. If all are paused, callers are refused at once with the time at which the first one takes requests again, spread. After a pause one request at a time tries the upstream. The same for chats and calls of the product.

--- a/crates/core/src/upstream/breaker.rs
+++ b/crates/core/src/upstream/breaker.rs
@@ -1,4 +1,4 @@
-//! Circuit breaker of one upstream: ejects it after faults, and pauses it after an overload
+//! Circuit breaker of one upstream: ejects it after faults, and backs off after an overload
 //! refusal.
 
 use crate::unit::Millis;
@@ -8,7 +8,7 @@
 /// Circuit breaker that one router keeps for one upstream.
 ///
 /// Faults and timeouts add points and successes remove them; at the limit the breaker opens. A
-/// refusal for overload adds no points: it only pauses the upstream.
+/// refusal for overload adds no points: the upstream only counts as full for a while.
 #[derive(Clone, Debug, Default)]
 pub struct Breaker {
     /// Points of faults and timeouts less those of successes.
@@ -17,8 +17,8 @@
     doublings: u32,
     /// When the last ejection ends; `None` while the breaker is closed.
     open_until: Option<Millis>,
-    /// When the pause after the last overload refusal ends.
-    paused_until: Millis,
+    /// Until when the upstream counts as full after the last overload refusal.
+    backoff_until: Millis,
 }
 
 /// State of a circuit breaker.
@@ -81,14 +81,14 @@
         }
     }
 
-    /// Records a refusal for overload, which pauses the upstream and doesn't eject it.
+    /// Records a refusal for overload, after which the upstream counts as full for a while.
     pub fn record_overload(&mut self, now: Millis, config: &TableConfig) {
-        self.paused_until = now + config.overload_pause;
+        self.backoff_until = now + config.overload_backoff;
     }
 
-    /// Returns whether the upstream is paused after a refusal for overload.
-    pub fn is_paused(&self, now: Millis) -> bool {
-        now < self.paused_until
+    /// Returns whether the upstream counts as full after a refusal for overload.
+    pub fn is_backing_off(&self, now: Millis) -> bool {
+        now < self.backoff_until
     }
 
     /// Returns the state at the time `now`.
--- a/crates/core/src/upstream/candidate.rs
+++ b/crates/core/src/upstream/candidate.rs
@@ -11,8 +11,17 @@
 use super::status::Availability;
 use super::table::ChoiceError;
 
-/// Returns the upstreams that may take the request now, and whether they have to be probed before.
-/// With `rates`, those that are at their rate may not.
+/// Upstreams that may take a request now; at least one.
+pub(super) struct Usable<'a> {
+    pub rows: Vec<&'a Row>,
+    /// Whether they have to be probed before.
+    pub needs_probe: bool,
+    /// Number of upstreams of the kind that asked this router for a pause.
+    pub paused: u32,
+}
+
+/// Returns the upstreams that may take the request now. With `rates`, those that are at their rate
+/// may not.
 ///
 /// # Errors
 ///
@@ -21,7 +30,7 @@
     rows: &'a Map<Upstream, Row>,
     context: &ChoiceContext<'_>,
     rates: Option<&RateBook>,
-) -> Result<(Vec<&'a Row>, bool), ChoiceError> {
+) -> Result<Usable<'a>, ChoiceError> {
     let mut candidates = Candidates::default();
     for row in rows
         .values()
@@ -51,23 +60,37 @@
     full: bool,
     /// Whether at least one was left out because it is at its rate.
     limited: bool,
+    /// Number of those that asked this router for a pause.
+    paused: u32,
+    /// When the first of these pauses ends.
+    pause_end: Option<Millis>,
+    /// Whether the request avoids one that would take another request.
+    avoided: bool,
 }
 
 impl<'a> Candidates<'a> {
-    /// Sorts an upstream in by its availability; one that the request avoids is only counted.
+    /// Sorts an upstream in by its availability; one that is paused, or that the request avoids, is
+    /// only counted.
     fn add(&mut self, row: &'a Row, context: &ChoiceContext<'_>) {
         self.known += 1;
-        if context.criteria.avoid.contains(&row.announcement.upstream) {
-            return;
-        }
-        let full = row.is_full(context.now, context.config, context.routers);
-        match row.availability(
+        let availability = row.availability(
             context.now,
             context.last_heard,
             context.config,
             context.routers,
-        ) {
-            Availability::Leaving | Availability::Unresponsive => {}
+        );
+        if let Availability::Paused { until } = availability {
+            self.paused += 1;
+            self.pause_end = Some(self.pause_end.map_or(until, |end| end.min(until)));
+            return;
+        }
+        if context.criteria.avoid.contains(&row.announcement.upstream) {
+            self.avoided |= availability == Availability::Available;
+            return;
+        }
+        let full = row.is_full(context.now, context.config, context.routers);
+        match availability {
+            Availability::Leaving | Availability::Unresponsive | Availability::Paused { .. } => {}
             // Heartbeats carry no load, so a full upstream may have room again. It is the last
             // resort, since it refuses by itself if it is still full.
             Availability::Full if context.config.heartbeat_only => self.stale.push(row),
@@ -109,25 +132,32 @@
         self.limited = self.fresh.len() + self.stale.len() < count;
     }
 
-    /// Returns the fresh upstreams, or the stale ones with `true` if no fresh one is left.
-    fn preferred(self) -> Result<(Vec<&'a Row>, bool), ChoiceError> {
+    /// Returns the fresh upstreams, or the stale ones if no fresh one is left.
+    fn preferred(self) -> Result<Usable<'a>, ChoiceError> {
         if self.known == 0 {
             return Err(ChoiceError::NoneKnown);
         }
-        if !self.fresh.is_empty() {
-            return Ok((self.fresh, false));
-        }
-        if !self.stale.is_empty() {
-            return Ok((self.stale, true));
+        let needs_probe = self.fresh.is_empty();
+        let rows = match needs_probe {
+            true => self.stale,
+            false => self.fresh,
+        };
+        if !rows.is_empty() {
+            return Ok(Usable {
+                rows,
+                needs_probe,
+                paused: self.paused,
+            });
         }
         if self.limited {
             return Err(ChoiceError::RateLimited {
                 until: Millis::ZERO,
             });
         }
-        match self.full {
-            true => Err(ChoiceError::Full),
-            false => Err(ChoiceError::NoneUsable),
+        match self.pause_end {
+            _ if self.full => Err(ChoiceError::Full),
+            Some(until) if !self.avoided => Err(ChoiceError::Paused { until }),
+            _ => Err(ChoiceError::NoneUsable),
         }
     }
 }
--- a/crates/core/src/upstream/config.rs
+++ b/crates/core/src/upstream/config.rs
@@ -37,8 +37,9 @@
     pub base_ejection: Millis,
     /// Maximum share of the upstreams of one kind that may be ejected, in thousandths.
     pub max_ejected: u32,
-    /// How long an upstream counts as full after it refused a request for overload.
-    pub overload_pause: Millis,
+    /// How long an upstream counts as full after it refused a request for overload, and did not ask
+    /// for a pause.
+    pub overload_backoff: Millis,
     /// How long crash evidence against a request is kept.
     pub evidence_ttl: Millis,
     /// How long the caller of a request is told to wait while its suspected crashes are checked.
@@ -96,7 +97,7 @@
             fault_limit: 3,
             base_ejection: Millis(1_000),
             max_ejected: 500,
-            overload_pause: Millis(250),
+            overload_backoff: Millis(250),
             evidence_ttl: Millis(600_000),
             settle_delay: Millis(1_000),
             full_limit: 64,
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -38,6 +38,7 @@
 pub use evidence::Subject;
 pub use part_quarantine::QuarantineChange;
 pub use pause::MAX_PAUSE;
+pub use pause::Pause;
 pub use quarantine::Crash;
 pub use status::Availability;
 pub use status::Pool;
--- a/crates/core/src/upstream/row.rs
+++ b/crates/core/src/upstream/row.rs
@@ -9,6 +9,7 @@
 use super::breaker::Breaker;
 use super::breaker::State;
 use super::config::TableConfig;
+use super::pause::Pause;
 use super::prefix::PrefixCache;
 use super::status::Availability;
 use super::version::Version;
@@ -45,6 +46,8 @@
     pub suspected: u32,
     /// Circuit breaker for faults of this router's attempts.
     pub breaker: Breaker,
+    /// Pause that the upstream asked this router for.
+    pub pause: Pause,
     /// Prompt prefixes that the upstream likely has cached.
     pub prefix_cache: PrefixCache,
     /// Revision of the table at which `announcement` last changed.
@@ -77,6 +80,7 @@
             pending_prefill: 0,
             suspected: 0,
             breaker: Breaker::default(),
+            pause: Pause::default(),
             prefix_cache: PrefixCache::default(),
             revision: 0,
         };
@@ -123,6 +127,7 @@
         self.pending_prefill = 0;
         self.suspected = 0;
         self.breaker = Breaker::default();
+        self.pause = Pause::default();
         self.prefix_cache.clear();
     }
 
@@ -203,7 +208,10 @@
         let slots = self.announcement.slots;
         let taken =
             self.estimated_load(config) >= slots && self.in_flight >= fair_share(slots, routers);
-        taken || self.in_flight >= slots || self.breaker.is_paused(now)
+        taken
+            || self.in_flight >= slots
+            || self.breaker.is_backing_off(now)
+            || self.pause.is_tried()
     }
 
     /// Returns whether the upstream may be used, or why not.
@@ -225,6 +233,9 @@
         if self.announcement.phase == Phase::Leaving {
             return Availability::Leaving;
         }
+        if let Some(until) = self.pause.active_until(now) {
+            return Availability::Paused { until };
+        }
         let interval_over = self
             .last_probe
             .is_none_or(|at| now >= at + UNRESPONSIVE_INTERVAL);
@@ -247,6 +258,9 @@
 
     /// Returns whether a probe has to be sent now.
     pub fn needs_probe(&self, now: Millis, config: &TableConfig) -> bool {
+        if self.pause.active_until(now).is_some() {
+            return false;
+        }
         if self
             .unanswered_since
             .is_some_and(|at| now < at + PROBE_TIMEOUT)
--- a/crates/core/src/upstream/status.rs
+++ b/crates/core/src/upstream/status.rs
@@ -38,6 +38,11 @@
     Full,
     /// It drains and accepts no new requests.
     Leaving,
+    /// It asked this router for a pause.
+    Paused {
+        /// When the pause ends, by the router's clock.
+        until: Millis,
+    },
     /// Its state is outdated or in doubt; it is probed before use.
     Stale,
     /// It did not answer the last probe.
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -39,6 +39,7 @@
 use super::status::Probe;
 use super::status::UpstreamStatus;
 
+mod pauses;
 mod rates;
 
 pub use rates::LimitedUpstream;
@@ -82,6 +83,8 @@
     pub address: SocketAddr,
     /// Whether the caller has to probe the upstream first, and use it only if it is ready.
     pub needs_probe: bool,
+    /// Number of upstreams that were passed over because they asked for a pause.
+    pub paused: u32,
 }
 
 /// Why no upstream was chosen.
@@ -102,6 +105,12 @@
         /// When the caller may retry, by the router's clock.
         until: Millis,
     },
+    /// Every upstream that might take the request asked this router for a pause.
+    #[error("every usable upstream of this kind asked for a pause")]
+    Paused {
+        /// When the caller may retry, by the router's clock.
+        until: Millis,
+    },
     /// The request or a part of its prompt crashed upstreams and is not run again.
     #[error("the request or a part of its prompt is quarantined")]
     Quarantined {
@@ -179,6 +188,8 @@
     sent_at: Millis,
     /// Whether the request is suspected of an earlier crash.
     suspected: bool,
+    /// Whether it was sent after a pause of the upstream, before another one was taken.
+    is_trial: bool,
     /// Prompt tokens that the upstream has to process before the answer begins; 0 once it has
     /// begun.
     prefill: u64,
@@ -204,6 +215,18 @@
     }
 }
 
+/// How a request is placed on the chosen upstream.
+struct Placement {
+    /// Whether the request is suspected of an earlier crash.
+    suspected: bool,
+    /// Whether the upstream has to be probed before.
+    needs_probe: bool,
+    /// Number of upstreams that were passed over because they asked for a pause.
+    paused: u32,
+    /// Prompt tokens that the upstream has to process.
+    prefill: u64,
+}
+
 /// What the end of an attempt tells of the parts of its prompt.
 enum PartVerdict {
     /// An answer that began at this time shows that they do not crash upstreams.
@@ -347,8 +370,14 @@
 
     /// Records that the head of a successful answer to an attempt has arrived.
     pub fn record_answer_head(&mut self, now: Millis, attempt: AttemptId) {
-        if let Some(active) = self.active.get_mut(&attempt) {
-            active.head_at = Some(now);
+        let Some(active) = self.active.get_mut(&attempt) else {
+            return;
+        };
+        active.head_at = Some(now);
+        if let Some(row) = self.rows.get_mut(&active.upstream)
+            && row.announcement.incarnation == active.incarnation
+        {
+            row.pause.record_taken(active.sent_at);
         }
     }
 
@@ -414,16 +443,22 @@
             suspected,
             last_heard: self.last_heard,
         };
-        let (rows, needs_probe) = match usable(&self.rows, &context, Some(&self.rates)) {
+        let usable = match usable(&self.rows, &context, Some(&self.rates)) {
             Err(ChoiceError::RateLimited { .. }) => return Err(self.turn_away(now, criteria)),
+            Err(ChoiceError::Paused { until }) => return Err(self.defer(now, until)),
             found => found?,
         };
         let index = context
-            .choose(&rows, &mut self.rng)
+            .choose(&usable.rows, &mut self.rng)
             .ok_or(ChoiceError::NoneUsable)?;
-        let upstream = rows[index].announcement.upstream.clone();
-        let prefill = context.uncached(rows[index]);
-        self.start_attempt(now, upstream, criteria, suspected, needs_probe, prefill)
+        let upstream = usable.rows[index].announcement.upstream.clone();
+        let placement = Placement {
+            suspected,
+            needs_probe: usable.needs_probe,
+            paused: usable.paused,
+            prefill: context.uncached(usable.rows[index]),
+        };
+        self.start_attempt(now, upstream, criteria, placement)
             .ok_or(ChoiceError::NoneUsable)
     }
 
@@ -460,14 +495,19 @@
         now: Millis,
         upstream: Upstream,
         criteria: &Criteria,
-        suspected: bool,
-        needs_probe: bool,
-        prefill: u64,
+        placement: Placement,
     ) -> Option<Pick> {
+        let Placement {
+            suspected,
+            needs_probe,
+            paused,
+            prefill,
+        } = placement;
         let row = self.rows.get_mut(&upstream)?;
         row.in_flight += 1;
         row.pending_prefill = row.pending_prefill.saturating_add(prefill);
         row.suspected += u32::from(suspected);
+        let is_trial = row.pause.begin_attempt();
         row.prefix_cache
             .record_routed(now, &criteria.prefixes, &self.config);
         if needs_probe {
@@ -483,6 +523,7 @@
             body: criteria.body,
             sent_at: now,
             suspected,
+            is_trial,
             prefill,
             parts: criteria.parts.clone(),
             head_at: None,
@@ -495,6 +536,7 @@
             incarnation: row.announcement.incarnation,
             address: row.announcement.address,
             needs_probe,
+            paused,
         })
     }
 
@@ -513,8 +555,14 @@
         row.in_flight = row.in_flight.saturating_sub(1);
         row.pending_prefill = row.pending_prefill.saturating_sub(active.prefill);
         row.suspected = row.suspected.saturating_sub(u32::from(active.suspected));
+        if active.is_trial {
+            row.pause.end_trial();
+        }
         match outcome {
-            AttemptOutcome::Completed => row.record_success(now),
+            AttemptOutcome::Completed => {
+                row.pause.record_taken(active.sent_at);
+                row.record_success(now);
+            }
             AttemptOutcome::Overload => row.breaker.record_overload(now, &self.config),
             AttemptOutcome::Unreachable | AttemptOutcome::Broken => {
                 row.probe_requested = true;
--- a/crates/core/src/upstream/table/rates.rs
+++ b/crates/core/src/upstream/table/rates.rs
@@ -13,6 +13,7 @@
 use super::Criteria;
 use super::Table;
 use super::usable;
+use crate::upstream::announce::Phase;
 use crate::upstream::choice::random_index;
 use crate::upstream::rate::KnownRate;
 use crate::upstream::rate::RateNotice;
@@ -73,7 +74,7 @@
             suspected: false,
             last_heard: self.last_heard,
         };
-        let (rows, _) = usable(&self.rows, &context, None).ok()?;
+        let rows = usable(&self.rows, &context, None).ok()?.rows;
         let row = rows[context.choose(&rows, &mut self.rng)?];
         let upstream = row.announcement.upstream.clone();
         let incarnation = row.announcement.incarnation;
@@ -96,7 +97,10 @@
     pub(super) fn turn_away(&mut self, now: Millis, criteria: &Criteria) -> ChoiceError {
         let offering = self.rows.values().filter(|row| {
             let upstream = &row.announcement.upstream;
-            row.offers(&criteria.kind) && !criteria.avoid.contains(upstream)
+            row.offers(&criteria.kind)
+                && !criteria.avoid.contains(upstream)
+                && row.announcement.phase == Phase::Ready
+                && row.pause.active_until(now).is_none()
         });
         let starts: Vec<(Upstream, Incarnation)> = offering
             .map(|row| {
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -16,6 +16,7 @@
 use chestnutnotch_core::id::PromptPart;
 use chestnutnotch_core::id::Upstream;
 use chestnutnotch_core::unit::Incarnation;
+use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::unit::RequestRate;
 use chestnutnotch_core::upstream::Announcement;
 use chestnutnotch_core::upstream::AttemptId;
@@ -25,6 +26,7 @@
 use chestnutnotch_core::upstream::Criteria;
 use chestnutnotch_core::upstream::Evidence;
 use chestnutnotch_core::upstream::Finding;
+use chestnutnotch_core::upstream::Kind;
 use chestnutnotch_core::upstream::LimitedUpstream;
 use chestnutnotch_core::upstream::Load;
 use chestnutnotch_core::upstream::Phase;
@@ -249,7 +251,8 @@
         );
     }
 
-    /// Logs the pause that the answer to an attempt asks for, if it does. `id` is that of the request.
+    /// Applies the pause that the answer to an attempt asks for, if it does. `id` is that of the
+    /// request. The answer has to be tied to the request, and come from the chosen upstream.
     pub fn observe_pause(&self, pick: &Pick, id: &str, pause: RequestedPause) {
         let length = match pause {
             RequestedPause::Absent => return,
@@ -260,14 +263,51 @@
             }
             RequestedPause::Lasts(length) => length,
         };
+        let now = self.timer.now();
+        let Some(until) = self.table().observe_pause(now, pick.attempt, length) else {
+            return;
+        };
         self.metrics.pauses.add("asked");
         log::info!(
             target: "upstream",
-            id, upstream:% = pick.upstream, start = pick.incarnation.0, length = length.0;
+            id, upstream:% = pick.upstream, start = pick.incarnation.0, length = length.0,
+            left = until.saturating_sub(now).0;
             "upstream asked for a pause"
         );
     }
 
+    /// See [`Table::may_send`].
+    pub fn may_send(&self, pick: &Pick) -> bool {
+        let now = self.timer.now();
+        self.table().may_send(now, pick)
+    }
+
+    /// See [`Table::is_paused`].
+    pub fn is_paused(&self, upstream: &Upstream) -> bool {
+        let now = self.timer.now();
+        self.table().is_paused(now, upstream)
+    }
+
+    /// See [`Table::find_all_paused`].
+    pub fn find_all_paused(&self, kind: &Kind) -> Option<Millis> {
+        let now = self.timer.now();
+        self.table().find_all_paused(now, kind)
+    }
+
+    /// Counts and logs a request for this kind of upstream that is turned away because every one is
+    /// paused. Returns the time from now to `until`, when its caller may retry.
+    pub fn turn_away_paused(&self, id: &str, kind: &Kind, until: Millis) -> Millis {
+        let now = self.timer.now();
+        let wait = until.saturating_sub(now);
+        self.metrics.pauses.add("turned_away");
+        let table = self.table();
+        let first = table.first_paused(now, kind);
+        let upstream = first.map_or("", |(upstream, _)| upstream.as_str());
+        let age = first.map_or(Millis::ZERO, |(_, asked)| now.saturating_sub(asked));
+        log::info!(target: "upstream", id, upstream, age = age.0, wait = wait.0; "upstreams are paused");
+        wait
+    }
+
     /// Records that the head of a successful answer to an attempt has arrived.
     pub fn record_answer_head(&self, attempt: AttemptId) {
         let now = self.timer.now();
@@ -287,7 +327,11 @@
     ///
     /// See [`ChoiceError`].
     pub fn choose(&self, criteria: &Criteria) -> Result<Pick, ChoiceError> {
-        self.table().choose(self.timer.now(), criteria)
+        let chosen = self.table().choose(self.timer.now(), criteria);
+        if chosen.as_ref().is_ok_and(|pick| pick.paused > 0) {
+            self.metrics.pauses.add("passed_over");
+        }
+        chosen
     }
 
     /// Waits before a request that is suspected of crashing upstreams is retried: until the other
--- a/crates/fleet/src/filters/attempt.rs
+++ b/crates/fleet/src/filters/attempt.rs
@@ -20,6 +20,7 @@
 use crate::edges::http::AnswerFault;
 use crate::edges::http::HttpClient;
 use crate::edges::http::NotRun;
+use crate::edges::http::RequestedPause;
 use crate::edges::http::SendError;
 use crate::edges::http::Tie;
 use crate::edges::http::client::Call;
@@ -47,7 +48,7 @@
     Send(#[from] SendError),
     /// The upstream answered this request with another status than 200.
     #[error("status {0}")]
-    Refused(StatusCode, NotRun),
+    Refused(StatusCode, NotRun, RequestedPause),
     /// An answer with this status is not tied to the request, which may run.
     #[error("status {0} of an answer that is not tied to the request")]
     Untied(StatusCode),
@@ -144,7 +145,8 @@
             return Err(OpenError::Untied(status));
         };
         if status != StatusCode::OK {
-            return Err(OpenError::Refused(status, NotRun::from_answer(tie)));
+            let pause = RequestedPause::read(status, response.headers());
+            return Err(OpenError::Refused(status, NotRun::from_answer(tie), pause));
         }
         let (head, incoming) = response.into_parts();
         let body = AnswerBody::events(&head, incoming);
--- a/crates/fleet/src/filters/call.rs
+++ b/crates/fleet/src/filters/call.rs
@@ -33,6 +33,7 @@
 use crate::controllers::lifecycle::InFlightGuard;
 use crate::edges::http::NotRun;
 use crate::edges::http::ReplyBody;
+use crate::edges::http::RequestedPause;
 use crate::edges::http::SendError;
 use crate::edges::http::client;
 use crate::edges::http::counted;
@@ -277,13 +278,15 @@
     ///
     /// # Errors
     ///
-    /// [`Refusal::NoUpstream`] or [`Refusal::Shed`].
+    /// [`Refusal::NoUpstream`], [`Refusal::Paused`] or [`Refusal::Shed`].
     pub async fn admit(&self, call: &CheckedCall) -> Result<AdmissionPermit, Refusal> {
+        let kind = Kind::Service(call.spec.name.clone());
+        self.check_pauses(&kind)?;
         let asking = AdmissionRequest {
             workspace: call.caller.workspace.clone(),
             share: call.caller.share,
             priority: call.spec.priority,
-            kind: Kind::Service(call.spec.name.clone()),
+            kind,
             cost: CALL_COST,
             deadline: call.deadline,
         };
@@ -344,6 +347,16 @@
     }
 }
 
+impl Chain {
+    /// Applies the pause that the answer to a call asks for, if it does. The answer has to be tied to
+    /// the call.
+    pub fn observe_pause<B>(&self, call: &CheckedCall, pick: &Pick, response: &Response<B>) {
+        let pause = RequestedPause::read(response.status(), response.headers());
+        let id = call.identity.id.key.as_str();
+        self.upstreams.observe_pause(pick, id, pause);
+    }
+}
+
 /// Returns the request for the chosen worker.
 pub fn upstream_request(call: &CheckedCall, pick: &Pick) -> client::Call {
     client::Call {
@@ -383,6 +396,7 @@
                 chain.upstreams.end(pick.attempt, AttemptOutcome::Unmatched);
                 return CallAttempt::Unknown;
             };
+            chain.observe_pause(call, &pick, &response);
             let answer = chain.read_answer(response, chain.time_left(call)).await;
             (Some(NotRun::from_answer(tie)), answer)
         }
--- a/crates/fleet/src/filters/choose.rs
+++ b/crates/fleet/src/filters/choose.rs
@@ -8,6 +8,7 @@
 use chestnutnotch_core::upstream::AttemptOutcome;
 use chestnutnotch_core::upstream::ChoiceError;
 use chestnutnotch_core::upstream::Criteria;
+use chestnutnotch_core::upstream::Kind;
 use chestnutnotch_core::upstream::Pick;
 use chestnutnotch_core::upstream::Probe;
 
@@ -26,7 +27,7 @@
     ///
     /// # Errors
     ///
-    /// [`Refusal::NoUpstream`], [`Refusal::Overloaded`], [`Refusal::Shed`] or
+    /// [`Refusal::NoUpstream`], [`Refusal::Overloaded`], [`Refusal::Paused`], [`Refusal::Shed`] or
     /// [`Refusal::Quarantined`].
     pub async fn pick(&self, criteria: &Criteria, execution: Execution) -> Result<Pick, Refusal> {
         self.upstreams.await_evidence(criteria).await;
@@ -43,6 +44,9 @@
                 Err(ChoiceError::NoneKnown | ChoiceError::NoneUsable) => {
                     return Err(Refusal::NoUpstream);
                 }
+                Err(ChoiceError::Paused { until }) => {
+                    return Err(self.turn_away_paused(&criteria.kind, until));
+                }
                 Err(ChoiceError::RateLimited { until }) => {
                     let retry_after = whole_seconds(until.saturating_sub(self.timer.now()));
                     return Err(Refusal::Shed { retry_after });
@@ -58,6 +62,26 @@
         }
         Err(Refusal::Overloaded)
     }
+
+    /// Checks that not every upstream of a kind is paused, so that a request does not wait for
+    /// admission in vain.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::Paused`].
+    pub fn check_pauses(&self, kind: &Kind) -> Result<(), Refusal> {
+        match self.upstreams.find_all_paused(kind) {
+            Some(until) => Err(self.turn_away_paused(kind, until)),
+            None => Ok(()),
+        }
+    }
+
+    fn turn_away_paused(&self, kind: &Kind, until: Millis) -> Refusal {
+        let wait = self.upstreams.turn_away_paused("", kind, until);
+        Refusal::Paused {
+            retry_after: whole_seconds(wait),
+        }
+    }
 }
 
 /// Returns the refusal of a request that admission control did not admit.
--- a/crates/fleet/src/filters/claim.rs
+++ b/crates/fleet/src/filters/claim.rs
@@ -24,6 +24,7 @@
 use crate::controllers::admission::AdmissionPermit;
 use crate::edges::http::NotRun;
 use crate::edges::http::SendError;
+use crate::edges::http::counted;
 use crate::edges::rpc::ControlClient;
 use crate::filters::Chain;
 use crate::filters::call::Answer;
@@ -152,7 +153,12 @@
             .send_once(upstream_request(call, &pick), timeout)
             .await;
         let outcome = match sent {
-            Ok(response) => chain.read_answer(response, chain.time_left(call)).await,
+            Ok(response) => {
+                if counted::tie(&response, None).is_some() {
+                    chain.observe_pause(call, &pick, &response);
+                }
+                chain.read_answer(response, chain.time_left(call)).await
+            }
             Err(error) => Err(error),
         };
         chain.upstreams.end(pick.attempt, attempt_outcome(&outcome));
--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -232,6 +232,7 @@
     /// Waits for admission.
     async fn admit(&mut self) -> Result<AdmissionPermit, Abort> {
         let chain = Arc::clone(&self.chain);
+        chain.check_pauses(&self.kind())?;
         let asking = AdmissionRequest {
             workspace: self.caller.workspace.clone(),
             share: self.caller.share,
@@ -361,7 +362,10 @@
         let id = Arc::clone(&open.request_id);
         let opening = EventStream::open(&chain.client, open.pick.address, &id, body, timeout);
         match self.while_caller_waits(opening).await {
-            Ok(Ok(source)) => Ok((source, open)),
+            Ok(Ok(source)) => {
+                self.chain.upstreams.record_answer_head(open.pick.attempt);
+                Ok((source, open))
+            }
             Ok(Err(error)) => Err(self.open_failed(open, &error)),
             Err(CallerGone) => {
                 self.abandon(open, AttemptOutcome::Neutral);
@@ -374,7 +378,11 @@
     fn open_failed(&mut self, open: OpenAttempt, error: &OpenError) -> AttemptError {
         match error {
             OpenError::Send(error) => self.send_failed(open, error),
-            OpenError::Refused(status, proof) => self.status_refused(open, *status, *proof),
+            OpenError::Refused(status, proof, pause) => {
+                let upstreams = &self.chain.upstreams;
+                upstreams.observe_pause(&open.pick, &open.request_id, *pause);
+                self.status_refused(open, *status, *proof)
+            }
             OpenError::Untied(_) => self.end_unknown(open, AttemptOutcome::Unmatched),
             OpenError::ContentType => self.end_unknown(open, AttemptOutcome::Broken),
         }
--- a/crates/fleet/src/filters/refusal.rs
+++ b/crates/fleet/src/filters/refusal.rs
@@ -111,6 +111,12 @@
     /// All upstreams that serve it are full.
     #[error("all upstreams that serve this are full")]
     Overloaded,
+    /// All upstreams that serve it asked this router for a pause.
+    #[error("all upstreams that serve this asked for a pause")]
+    Paused {
+        /// Seconds until a resend may be served.
+        retry_after: u64,
+    },
     /// Admission control shed it under load before it ran.
     #[error("too many requests wait for the upstreams that serve this")]
     Shed {
@@ -173,6 +179,7 @@
             Self::NoQuorum(_) => "no_quorum",
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
+            Self::Paused { .. } => "upstreams_paused",
             Self::Shed { .. } => "shed",
             Self::Quarantined { .. } => "quarantined",
             Self::Failed(_) => "upstream_failed",
@@ -201,6 +208,7 @@
             | Self::NoQuorum(_)
             | Self::NoUpstream
             | Self::Overloaded
+            | Self::Paused { .. }
             | Self::Shed { .. }
             | Self::BillUnsafe
             | Self::Failed(Execution::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
@@ -230,9 +238,9 @@
         match self {
             Self::BudgetSpent => Some(BUDGET_RETRY_SECONDS),
             Self::NoQuorum(_) | Self::NoUpstream => Some(LONG_RETRY_SECONDS),
-            Self::Quarantined { retry_after, .. } | Self::Shed { retry_after } => {
-                Some(*retry_after)
-            }
+            Self::Quarantined { retry_after, .. }
+            | Self::Paused { retry_after }
+            | Self::Shed { retry_after } => Some(*retry_after),
             Self::AllotmentShort
             | Self::Starting(_)
             | Self::Stopping(_)
--- a/crates/fleet/src/filters/relay.rs
+++ b/crates/fleet/src/filters/relay.rs
@@ -10,6 +10,7 @@
 use crate::filters::attempt::AttemptReader;
 use crate::filters::attempt::EventStream;
 use crate::filters::attempt::FinishedAnswer;
+use crate::filters::attempt::OpenError;
 use crate::filters::attempt::ReadFault;
 use crate::filters::forward::Abort;
 use crate::filters::forward::AttemptError;
@@ -84,6 +85,9 @@
     /// Opens the rest of an interrupted stream on the same upstream.
     async fn resume(&self, open: &OpenAttempt, reader: &mut AttemptReader) -> Option<EventStream> {
         tokio::time::sleep(jitter(RESUME_DELAY)).await;
+        if self.chain.upstreams.is_paused(&open.pick.upstream) {
+            return None;
+        }
         reader.discard_end();
         let timeout = self
             .time_left()
@@ -99,6 +103,10 @@
                 Some(resumed)
             }
             Err(error) => {
+                if let OpenError::Refused(_, _, pause) = error {
+                    let upstreams = &self.chain.upstreams;
+                    upstreams.observe_pause(&open.pick, &open.request_id, pause);
+                }
                 log::info!(target: "upstream", id = &*open.request_id, upstream:% = open.pick.upstream, error:% = error; "chat not resumed");
                 resumes.add("refused");
                 None
--- a/crates/fleet/src/filters/route.rs
+++ b/crates/fleet/src/filters/route.rs
@@ -264,6 +264,7 @@
             usage: match row.availability {
                 Availability::Available => "used",
                 Availability::Full => "full",
+                Availability::Paused { .. } => "paused",
                 Availability::Leaving => "leaving",
                 Availability::Stale => "stale",
                 Availability::Unresponsive => "silent",
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::upstream::AttemptOutcome;
 use chestnutnotch_core::upstream::ChoiceError;
+use chestnutnotch_core::upstream::Kind;
 use chestnutnotch_core::upstream::Pick;
 use http::Request;
 use http::Response;
@@ -198,6 +199,7 @@
     acquire_share(job).await;
     let attempt = choose(job)?;
     let mut connection = connect(job, &attempt).await?;
+    check_choice(job, &attempt)?;
     let now = job.gateway.timer.now();
     if job.sends == 0 {
         job.gateway.retry_budgets.record_first(now, &job.service);
@@ -287,12 +289,19 @@
                 let wait = until.saturating_sub(gateway.timer.now());
                 Refusal::RateLimited { wait }
             }
+            ChoiceError::Paused { until } => {
+                let kind = Kind::Service(job.service.clone());
+                let id = &job.metadata.attempt_id;
+                let wait = gateway.upstreams.turn_away_paused(id, &kind, until);
+                Refusal::Paused { wait }
+            }
             ChoiceError::Full => Refusal::Full,
             ChoiceError::NoneKnown | ChoiceError::NoneUsable => Refusal::NoUpstream,
         };
         AttemptFailure::not_run(refusal, evidence)
     })?;
     job.tried.push(pick.upstream.clone());
+    job.paused = pick.paused;
     Ok(AttemptGuard {
         gateway: std::sync::Arc::clone(gateway),
         pick,
@@ -331,6 +340,17 @@
     }
 }
 
+/// Checks that the upstream still takes requests after the wait for a connection.
+fn check_choice(job: &mut Job, attempt: &AttemptGuard) -> Result<(), AttemptFailure> {
+    if job.gateway.upstreams.may_send(&attempt.pick) {
+        return Ok(());
+    }
+    job.reason = "withdrawn";
+    job.gateway.metrics.connections.add("withdrawn");
+    let evidence = NotRun::not_begun();
+    Err(AttemptFailure::not_run(Refusal::NoUpstream, evidence))
+}
+
 /// Returns the time by which an upstream has to answer. For a stream, it only bounds the first
 /// events.
 fn attempt_deadline(job: &Job) -> Instant {
@@ -475,7 +495,7 @@
         log::info!(
             target: "request",
             id = &*self.metadata.attempt_id, route = &*self.route.name, kind, outcome,
-            status = status.as_u16(), ms, sends = self.sends, reason = self.reason,
+            status = status.as_u16(), ms, sends = self.sends, reason = self.reason, paused = self.paused,
             not_run = evidence.map_or("", NotRun::label),
             upstream = self.tried.last().map_or("", |upstream| upstream.as_str()),
             charged = self.charge.as_ref().map_or(0, |charge| charge.due().0);
--- a/crates/fleet/src/gateway/front.rs
+++ b/crates/fleet/src/gateway/front.rs
@@ -268,6 +268,7 @@
             tried: Vec::new(),
             runs: 0,
             sends: 0,
+            paused: 0,
             reason: "",
         })
     }
--- a/crates/fleet/src/gateway/job.rs
+++ b/crates/fleet/src/gateway/job.rs
@@ -56,6 +56,8 @@
     pub runs: u32,
     /// Number of attempts that were sent to an upstream.
     pub sends: u32,
+    /// Number of upstreams that the last choice passed over because they asked for a pause.
+    pub paused: u32,
     /// Why the last failed attempt ended, as written to the log; empty if none failed.
     pub reason: &'static str,
 }
--- a/crates/fleet/src/gateway/refusal.rs
+++ b/crates/fleet/src/gateway/refusal.rs
@@ -52,6 +52,12 @@
         /// Time until there may be room.
         wait: Millis,
     },
+    /// Every upstream asked this router for a pause.
+    #[error("the upstreams asked for a pause")]
+    Paused {
+        /// Time until one takes requests again.
+        wait: Millis,
+    },
     /// Several upstreams broke off while running the request, or requests with the same part of a
     /// prompt.
     #[error("the request, or a part of its prompt, broke several upstreams and is not run")]
@@ -88,6 +94,7 @@
             | Self::NoUpstream
             | Self::Full
             | Self::RateLimited { .. }
+            | Self::Paused { .. }
             | Self::Quarantined { .. }
             | Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -107,6 +114,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
             Self::RateLimited { .. } => "rate_limited",
+            Self::Paused { .. } => "paused",
             Self::Quarantined { .. } => "quarantined",
             Self::AnswerLost => "lost",
             Self::AnswerLate => "late",
@@ -119,7 +127,9 @@
     fn retry_after(&self, target: Millis) -> Option<Millis> {
         match self {
             Self::Starting => Some(STARTING_RETRY_AFTER),
-            Self::Quarantined { wait } | Self::RateLimited { wait } => Some(*wait),
+            Self::Quarantined { wait } | Self::RateLimited { wait } | Self::Paused { wait } => {
+                Some(*wait)
+            }
             Self::AllotmentShort | Self::NoUpstream | Self::Full => {
                 let wait = Millis(target.0 / RETRY_AFTER_DIVISOR);
                 Some(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -335,7 +335,7 @@
             id = &*job.metadata.attempt_id, route = &*job.route.name, kind, outcome,
             status = self.status.as_u16(), first, ms = job.elapsed().0, events = self.event_count,
             framing = framing.label(),
-            sends = job.sends, reason = job.reason,
+            sends = job.sends, reason = job.reason, paused = job.paused,
             upstream = job.tried.last().map_or("", |upstream| upstream.as_str()),
             charged = job.charge.as_ref().map_or(0, |charge| charge.due().0);
             "answered"
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -22,6 +22,7 @@
 use crate::http::Body;
 use crate::http::error;
 use crate::http::json;
+use crate::http::overloaded;
 use crate::settings::Settings;
 use crate::stats::Stats;
 use crate::text;
@@ -125,7 +126,7 @@
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
         if faults.refuse || self.runs.waiting() >= self.queue {
-            return error(StatusCode::SERVICE_UNAVAILABLE, "overloaded");
+            return overloaded(&faults);
         }
         let run = Arc::new(self.prepare(id, &chat, &faults));
         self.runs.retain(run.clone());
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -30,6 +30,8 @@
     pub die: bool,
     /// Requests are refused with status 503 before they run.
     pub refuse: bool,
+    /// Seconds without requests that these refusals ask for.
+    pub pause: Option<u64>,
     /// The latest refusal of a chat or call is written once more on its connection, in place of the
     /// answer to a later one, which runs.
     pub repeat_refusal: bool,
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::error::Cut;
+use crate::faults::Faults;
 
 /// Body of a response, which may end with [`Cut`].
 pub(crate) type Body = BoxBody<Bytes, Cut>;
@@ -47,6 +48,16 @@
     answer
 }
 
+/// Returns the refusal of a request for overload, which may ask for a pause.
+pub(crate) fn overloaded(faults: &Faults) -> Response<Body> {
+    let mut answer = error(StatusCode::SERVICE_UNAVAILABLE, "overloaded");
+    if let Some(seconds) = faults.pause {
+        let headers = answer.headers_mut();
+        headers.insert(header::RETRY_AFTER, seconds.into());
+    }
+    answer
+}
+
 /// Returns an error response in the format of model engines. `code` tells errors with the same
 /// status apart.
 pub(crate) fn error(status: StatusCode, code: &'static str) -> Response<Body> {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -45,6 +45,7 @@
 use crate::http::collect;
 use crate::http::error;
 use crate::http::json;
+use crate::http::overloaded;
 use crate::service::PlainService;
 use crate::settings::Settings;
 use crate::stats::Stats;
@@ -300,7 +301,7 @@
     shared.check_request(body).await;
     let faults = shared.faults();
     if faults.refuse {
-        return Ok(error(StatusCode::SERVICE_UNAVAILABLE, "overloaded"));
+        return Ok(overloaded(&faults));
     }
     tokio::time::sleep(Duration::from_millis(faults.slow)).await;
     let key = header(headers, "idempotency-key");
