Heed the leave that an upstream states in its answers

Such an answer, if it is tied to its request and comes from the upstream, now counts as the leave call of that start, and is gossiped like one; a leave is final for its start, so heartbeats and gossip that say ready do not undo it.

--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -19,11 +19,13 @@
 use chestnutnotch_core::roster::Roster;
 use chestnutnotch_core::roster::RosterSettings;
 use chestnutnotch_core::roster::Urgency;
+use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::unit::RequestRate;
 use chestnutnotch_core::upstream::Announcement;
 use chestnutnotch_core::upstream::Crash;
 use chestnutnotch_core::upstream::Phase;
 use chestnutnotch_core::upstream::Pick;
+use chestnutnotch_core::upstream::announce::MAX_SEQUENCE;
 use chestnutnotch_core::upstream::rate::Reach;
 use chestnutnotch_core::upstream::rate::ShareRequest;
 use tokio::sync::Notify;
@@ -159,6 +161,23 @@
         change
     }
 
+    /// Announces that an upstream leaves, as it stated itself. Does nothing if the upstream is unknown,
+    /// or has been restarted since the start `started`.
+    pub fn announce_leave(&self, upstream: &Upstream, started: Option<Incarnation>) {
+        let Some(known) = self.inner.upstreams.announcement(upstream) else {
+            log::info!(upstream:% = upstream; "leave of an unknown upstream ignored");
+            return;
+        };
+        if started.is_some_and(|started| started < known.incarnation) {
+            return;
+        }
+        self.announce(Announcement {
+            phase: Phase::Leaving,
+            seq: known.seq.saturating_add(1).min(MAX_SEQUENCE),
+            ..known
+        });
+    }
+
     /// Gossips the crash evidence that this node found since the last call: requests that broke off
     /// at upstreams, and parts of their prompts that may have crashed these or have proved sound.
     pub fn share_evidence(&self) {
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -527,11 +527,17 @@
         self.table().announcements().cloned().collect()
     }
 
-    /// Returns the newest known incarnation of an upstream.
-    pub fn incarnation(&self, upstream: &Upstream) -> Option<Incarnation> {
+    /// Returns the newest announcement of one upstream.
+    pub fn announcement(&self, upstream: &Upstream) -> Option<Announcement> {
         let table = self.table();
         let mut all = table.announcements();
         all.find(|announcement| announcement.upstream == *upstream)
+            .cloned()
+    }
+
+    /// Returns the newest known incarnation of an upstream.
+    pub fn incarnation(&self, upstream: &Upstream) -> Option<Incarnation> {
+        self.announcement(upstream)
             .map(|announcement| announcement.incarnation)
     }
 
--- a/crates/fleet/src/dialect.rs
+++ b/crates/fleet/src/dialect.rs
@@ -158,6 +158,8 @@
     pub load: Option<Load>,
     /// Rate of requests that the upstream takes.
     pub rate: NamedRate,
+    /// Whether it states that the upstream leaves.
+    pub leaving: bool,
 }
 
 /// Rate of requests that an answer names: what the upstream takes from all routers together.
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -475,7 +475,6 @@
     let registry = Arc::new(Registry {
         dialect: Arc::clone(&dialect),
         nodes: base.nodes.clone(),
-        upstreams: base.upstreams.clone(),
         control: base.control.clone(),
     });
     let mut servers = vec![spawn_server(listener, registry).0];
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -8,15 +8,11 @@
 use chestnutnotch_core::command::Command;
 use chestnutnotch_core::command::Reply;
 use chestnutnotch_core::id::Budget;
-use chestnutnotch_core::id::Upstream;
 use chestnutnotch_core::route::Adopt;
 use chestnutnotch_core::route::Plan;
 use chestnutnotch_core::route::Prepaid;
 use chestnutnotch_core::unit::Incarnation;
-use chestnutnotch_core::upstream::Announcement;
 use chestnutnotch_core::upstream::AnnouncementError;
-use chestnutnotch_core::upstream::Phase;
-use chestnutnotch_core::upstream::announce::MAX_SEQUENCE;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -27,7 +23,6 @@
 
 use crate::controllers::nodes::Nodes;
 use crate::controllers::upstreams::MAX_ANNOUNCEMENT_BYTES;
-use crate::controllers::upstreams::Upstreams;
 use crate::dialect::Dialect;
 use crate::dialect::DocumentError;
 use crate::dialect::Operation;
@@ -57,8 +52,6 @@
     pub dialect: Arc<dyn Dialect>,
     /// Membership of the nodes, which also spreads announcements of upstreams.
     pub nodes: Nodes,
-    /// Table of the known upstreams.
-    pub upstreams: Upstreams,
     /// Client of the control replicas.
     pub control: ControlClient,
 }
@@ -126,7 +119,8 @@
             }
             Operation::Leave(upstream) => {
                 let body = read_body(body, MAX_ANNOUNCEMENT_BYTES).await?;
-                self.announce_leave(upstream, self.dialect.decode_leave(&body));
+                let started = self.dialect.decode_leave(&body).map(Incarnation);
+                self.nodes.announce_leave(upstream, started);
                 Ok(EMPTY_JSON)
             }
             Operation::Publish => {
@@ -143,27 +137,6 @@
         }
     }
 
-    /// Announces that an upstream is leaving. Does nothing if the upstream is unknown, or if it has
-    /// been restarted since the start that the call names.
-    fn announce_leave(&self, upstream: &Upstream, started: Option<u64>) {
-        let known = self.upstreams.announcements();
-        let Some(known) = known
-            .into_iter()
-            .find(|announcement| announcement.upstream == *upstream)
-        else {
-            log::info!(upstream:% = upstream; "leave call of an unknown upstream ignored");
-            return;
-        };
-        if started.is_some_and(|started| Incarnation(started) < known.incarnation) {
-            return;
-        }
-        self.nodes.announce(Announcement {
-            phase: Phase::Leaving,
-            seq: known.seq.saturating_add(1).min(MAX_SEQUENCE),
-            ..known
-        });
-    }
-
     /// Validates a set of routes and submits it to the control replicas.
     async fn publish(&self, source: Bytes) -> Result<Bytes, CallError> {
         let plan = self.dialect.decode_plan(&source)?;
--- a/crates/fleet/src/gateway/verdict.rs
+++ b/crates/fleet/src/gateway/verdict.rs
@@ -85,6 +85,12 @@
 fn record_wishes(job: &Job, metadata: &ResponseMetadata, opened: &OpenResponse) {
     let pick = &opened.attempt.pick;
     record_rate(job, pick, metadata);
+    if metadata.leaving {
+        job.gateway.metrics.announcements.add("leaving_by_answer");
+        log::info!(target: "upstream", id = &*job.metadata.attempt_id, upstream:% = pick.upstream, start = pick.incarnation.0; "upstream leaves by its answer");
+        let nodes = &job.gateway.nodes;
+        nodes.announce_leave(&pick.upstream, Some(pick.incarnation));
+    }
     let pause = RequestedPause::read(opened.head.status, &opened.head.headers);
     let upstreams = &job.gateway.upstreams;
     upstreams.observe_pause(pick, &job.metadata.attempt_id, pause);
