Refuse requests that a stopping router can't end

Cause: a stopping router took each request whatever time was left, and its runtime ended with requests in flight. Now a request that takes longer than is left is refused at once (503 stopping, not run): what counts is the time that requests of its route took (average and four deviations), or the time that its caller waits if too few were served. What is in flight at the end is answered 502.

--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -14,6 +14,7 @@
 pub use gate::QueueDecision;
 pub use gate::Shed;
 pub use gate::ShedReason;
+pub use pace::ServiceTime;
 pub use progress::Progress;
 pub use progress::TimeoutKind;
 pub use progress::Timeouts;
--- a/crates/core/src/limit/pace.rs
+++ b/crates/core/src/limit/pace.rs
@@ -25,6 +25,9 @@
 /// Largest ratio, in either direction, of a sample to the average; others are clamped to it.
 const MAX_SAMPLE_RATIO: f64 = 4.0;
 
+/// Number of average deviations above the average that a long request takes.
+const LONG_DEVIATIONS: f64 = 4.0;
+
 impl ServiceTime {
     /// Records that a request of this cost held a slot for this long.
     pub fn record(&mut self, cost: Tokens, held: Millis) {
@@ -65,6 +68,12 @@
         Millis((work as f64 * per_token / f64::from(slots)) as u64)
     }
 
+    /// Estimates how long a long request takes: the average and four times the average deviation.
+    pub fn long_request(&self) -> Option<Millis> {
+        let bound = self.mean_held + LONG_DEVIATIONS * self.deviation;
+        self.is_known().then_some(Millis(bound as u64))
+    }
+
     /// Estimates how long a short request holds a slot: the average less the average deviation.
     pub fn short_request(&self) -> Millis {
         match self.is_known() {
--- a/crates/fleet/src/controllers/lifecycle.rs
+++ b/crates/fleet/src/controllers/lifecycle.rs
@@ -1,10 +1,13 @@
 //! The lifecycle stage of a router, and the number of its requests in flight.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use chestnutnotch_core::unit::Millis;
 use tokio::sync::watch;
 
 use crate::metrics::Metrics;
+use crate::timer::Timer;
 
 /// Lifecycle stage of a router.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -25,6 +28,8 @@
 pub struct Lifecycle {
     stage: watch::Sender<Stage>,
     in_flight: watch::Sender<usize>,
+    /// When the requests in flight have to be answered, once the router stops.
+    drain_end: watch::Sender<Option<Millis>>,
     metrics: Arc<Metrics>,
 }
 
@@ -38,6 +43,7 @@
         Self {
             stage: watch::Sender::new(Stage::Starting),
             in_flight: watch::Sender::new(0),
+            drain_end: watch::Sender::new(None),
             metrics,
         }
     }
@@ -64,6 +70,27 @@
         });
     }
 
+    /// Advances to [`Stage::Stopping`]. All requests have to be answered by `end`.
+    pub fn stop_by(&self, end: Millis) {
+        self.drain_end.send_replace(Some(end));
+        self.advance(Stage::Stopping);
+    }
+
+    /// Returns when all requests have to be answered, if the router stops.
+    pub fn drain_end(&self) -> Option<Millis> {
+        *self.drain_end.borrow()
+    }
+
+    /// Waits until the router stops and all requests have to be answered.
+    pub async fn drained(&self, timer: &Timer) {
+        let mut end = self.drain_end.subscribe();
+        // The sender lives as long as `self`, so this can't fail.
+        let end = end.wait_for(Option::is_some).await;
+        let end = end.ok().and_then(|end| *end).unwrap_or(Millis::ZERO);
+        let left = end.saturating_sub(timer.now());
+        tokio::time::sleep(Duration::from_millis(left.0)).await;
+    }
+
     /// Counts a request in flight until the guard is dropped.
     pub fn track_request(&self) -> InFlightGuard {
         self.in_flight.send_modify(|count| *count += 1);
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -144,6 +144,8 @@
         let sends_before = job.sends;
         let failure = match attempt(&mut job, None).await {
             Ok(AttemptResponse::Complete(response)) => {
+                let times = &job.gateway.route_times;
+                times.record(&job.route.name, job.elapsed());
                 job.log_end(response.status(), "served", None);
                 return response;
             }
--- a/crates/fleet/src/gateway/front.rs
+++ b/crates/fleet/src/gateway/front.rs
@@ -50,6 +50,7 @@
 use crate::gateway::exchange;
 use crate::gateway::job::Job;
 use crate::gateway::refusal::Refusal;
+use crate::gateway::route_times::RouteTimes;
 use crate::metrics::Metrics;
 use crate::timer::Timer;
 
@@ -75,6 +76,8 @@
     pub nodes: Nodes,
     /// Retry budget of each service.
     pub retry_budgets: RetryBudgets,
+    /// How long the requests of each route take.
+    pub route_times: RouteTimes,
     /// Longest wait for requests in flight when the router stops.
     pub drain_timeout: Duration,
     /// Clock for deadlines and periodic work.
@@ -173,9 +176,50 @@
             metadata,
             body,
         };
-        match self.admit(received, &routes, &route).await {
-            Ok(job) => exchange::run(job).await,
-            Err(refusal) => self.refuse(refusal, Some(&route), &id, start),
+        let admitted = tokio::select! {
+            biased;
+            admitted = self.admit(received, &routes, &route) => admitted,
+            () = self.lifecycle.drained(&self.timer) => Err(Refusal::Stopping),
+        };
+        let job = match admitted {
+            Ok(job) => job,
+            Err(refusal) => return self.refuse(refusal, Some(&route), &id, start),
+        };
+        tokio::select! {
+            biased;
+            response = exchange::run(job) => response,
+            () = self.lifecycle.drained(&self.timer) => self.abandon(&route, &id, start),
+        }
+    }
+
+    /// Answers a request whose outcome is not known when the router has to end.
+    fn abandon(&self, route: &Route, id: &str, start: Millis) -> Response<ReplyBody> {
+        let refusal = Refusal::AnswerLost;
+        let kind = kind_label(route.kind);
+        self.metrics.requests.add(refusal.code());
+        self.metrics.count_pass_through(kind, refusal.code());
+        log::info!(
+            target: "request",
+            id, route = &*route.name, kind, outcome = refusal.code(), reason = "stopped",
+            status = refusal.status().as_u16(), ms = self.timer.now().saturating_sub(start).0;
+            "answered"
+        );
+        refusal.response(route.target_latency, None)
+    }
+
+    /// Checks that a request whose caller waits until `deadline` will be answered before the router
+    /// ends, if it stops.
+    fn check_stop(&self, route: &Route, deadline: Millis) -> Result<(), Refusal> {
+        let Some(end) = self.lifecycle.drain_end() else {
+            return Ok(());
+        };
+        let now = self.timer.now();
+        let longest = deadline.saturating_sub(now);
+        let expected = self.route_times.long_request(&route.name);
+        let needed = expected.map_or(longest, |expected| expected.min(longest));
+        match now + needed <= end {
+            true => Ok(()),
+            false => Err(Refusal::Stopping),
         }
     }
 
@@ -233,6 +277,7 @@
             .timeout
             .map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let body = self.read_body(body, metadata.timeout).await?;
+        self.check_stop(route, start + timeout)?;
         let draw = rand::rng().random::<f64>();
         let service = route.pick_service(draw).ok_or(Refusal::NoUpstream)?.clone();
         let budget = workspace.filter(|spec| spec.prepaid.is_some());
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod process;
 pub mod refusal;
 pub mod registry;
+pub mod route_times;
 pub mod status;
 pub mod stream;
 mod verdict;
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -53,6 +53,7 @@
 use crate::gateway::front::Gateway;
 use crate::gateway::front::RetryBudgets;
 use crate::gateway::registry::Registry;
+use crate::gateway::route_times::RouteTimes;
 use crate::gateway::status::StatusHandler;
 use crate::metrics::Metrics;
 use crate::runtime::ThreadRuntime;
@@ -94,6 +95,9 @@
 /// Part of the grace time reserved for returning the allotments, in milliseconds.
 const ALLOTMENT_RETURN_MILLIS: u64 = 600;
 
+/// Part of the grace time reserved for sending the last answers.
+const ANSWER_MARGIN: Millis = Millis(200);
+
 /// Time without a heartbeat after which an upstream counts as lost, while heartbeats of others
 /// still arrive. It spans several heartbeats, so that a single late one does no harm.
 const STALE_AFTER: Millis = Millis(5_000);
@@ -239,7 +243,10 @@
     /// connections. Then the servers finish the requests in flight, and unused allotments return to
     /// the ledger.
     async fn stop(self, settings: &GatewaySettings) {
-        self.gateway.lifecycle.advance(Stage::Stopping);
+        let drain = Millis(settings.linger + self.gateway.drain_timeout.as_millis() as u64);
+        let end = self.gateway.timer.now() + drain;
+        let end = end.saturating_sub(ANSWER_MARGIN);
+        self.gateway.lifecycle.stop_by(end);
         self.gateway.nodes.leave();
         tokio::time::sleep(Duration::from_millis(settings.linger)).await;
         // Both fail only if the server has already ended.
@@ -295,6 +302,7 @@
         pool: Pool::default(),
         nodes: base.nodes,
         retry_budgets: RetryBudgets::new(rules),
+        route_times: RouteTimes::default(),
         drain_timeout: Duration::from_millis(settings.grace.saturating_sub(reserved)),
         timer,
         metrics,
--- a/crates/fleet/src/gateway/refusal.rs
+++ b/crates/fleet/src/gateway/refusal.rs
@@ -19,6 +19,9 @@
     /// The router has no routes yet, or has not joined the ledger.
     #[error("this router is starting")]
     Starting,
+    /// The router stops, and the request may take longer than it runs.
+    #[error("this router is stopping")]
+    Stopping,
     /// No route matches the host and path.
     #[error("no route leads there")]
     NoRoute,
@@ -90,6 +93,7 @@
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::AnswerLate => StatusCode::GATEWAY_TIMEOUT,
             Self::Starting
+            | Self::Stopping
             | Self::AllotmentShort
             | Self::NoUpstream
             | Self::Full
@@ -104,6 +108,7 @@
     pub fn code(&self) -> &'static str {
         match self {
             Self::Starting => "starting",
+            Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::Header(_) => "bad_header",
@@ -127,6 +132,8 @@
     fn retry_after(&self, target: Millis) -> Option<Millis> {
         match self {
             Self::Starting => Some(STARTING_RETRY_AFTER),
+            // Another router takes it at once.
+            Self::Stopping => Some(MIN_RETRY_AFTER),
             Self::Quarantined { wait } | Self::RateLimited { wait } | Self::Paused { wait } => {
                 Some(*wait)
             }
--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -183,6 +183,8 @@
                     pool.keep(opened.connection, &opened.head.headers);
                     // Fails only if the caller has disconnected, which needs no end.
                     let _ = self.tx.send(Part::End).await;
+                    let times = &self.job.gateway.route_times;
+                    times.record(&self.job.route.name, self.job.elapsed());
                     "served"
                 }
                 StreamEnd::CallerGone => "caller_gone",
