Control hosts stay up while their disks are full

Report of another operator: disks were full for a few seconds each, one after another, and changes stayed refused long after. Worse, the bill spool alone ended with an error of its file and its process ran on, without bills or seals until a restart. Now a write that finds the disk full is tried again from the last complete frame, as on a disk that stalls; a leader falls silent meanwhile and refuses commands, so that another one is elected; the spool refuses bills and goes on; a start waits for room. A process whose spool ended ends too.

Staying up without giving up leadership was tried first: changes were unanswered for the 30 s of the test. Ending was weighed against it: it takes the heartbeats of upstreams along.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -171,6 +171,7 @@
             tokio::select! {
                 () = stop => {}
                 () = replica.stopped() => log::error!("the replica stopped unexpectedly"),
+                _ = self.spool.wait(None) => log::error!("the bill spool stopped unexpectedly"),
             }
             replica.stop().await;
         };
--- a/crates/fleet/src/controllers/replica/actor.rs
+++ b/crates/fleet/src/controllers/replica/actor.rs
@@ -77,6 +77,8 @@
     Inbound(Inbound, OwnedSemaphorePermit),
     /// Run the timers. The flag is set while a tick is pending and cleared when it is processed.
     Tick(Arc<AtomicBool>),
+    /// A batch of disk writes waits for room on the disk.
+    DiskFull,
     /// A batch of disk writes has finished or failed.
     BatchWritten(Result<WrittenBatch, DiskError>),
     /// Encoding a snapshot of the state up to this entry has finished or failed.
@@ -127,6 +129,8 @@
     pub(super) replica: Replica,
     /// Pending disk writes.
     pub(super) writer: Writer,
+    /// Whether a batch of disk writes waits for room on the disk.
+    pub(super) disk_full: bool,
     /// State machine, with the last entry applied to it.
     pub(super) applied: Applied,
     /// Publishes each new revision of the configuration.
@@ -230,6 +234,7 @@
             myself,
             replica: arguments.replica,
             writer: Writer::new(arguments.folder),
+            disk_full: false,
             stamp: arguments.applied.stamp,
             applied: arguments.applied,
             accepted_tx: arguments.accepted_tx,
@@ -271,6 +276,7 @@
                 pending.store(false, Ordering::Release);
                 self.tick();
             }
+            ReplicaMessage::DiskFull => self.on_disk_full(),
             ReplicaMessage::BatchWritten(result) => self.on_batch_written(result),
             ReplicaMessage::SnapshotEncoded(index, result) => {
                 self.on_snapshot_encoded(index, result)
@@ -326,6 +332,7 @@
 
     /// Starts a planned stop.
     fn stop(&mut self) {
+        self.writer.give_up();
         if self.stop_deadline.is_none() {
             self.stop_deadline = Some(self.timer.now() + Millis(STOP_TIMEOUT_MILLIS));
             self.step(Input::TransferLeadership);
--- a/crates/fleet/src/controllers/replica/carry.rs
+++ b/crates/fleet/src/controllers/replica/carry.rs
@@ -82,6 +82,10 @@
         if to == from {
             return self.step(Input::Receive { from, message });
         }
+        // A leader without room falls silent, so that another one is elected.
+        if self.disk_full && self.replica.node().leads() {
+            return;
+        }
         let Some(address) = self.address_of(to) else {
             return;
         };
@@ -155,7 +159,12 @@
 
     /// Starts the next batch of disk writes, unless there is none or one is in progress.
     pub(super) fn write(&mut self) {
-        let Some(write) = self.writer.start() else {
+        let myself = self.myself.clone();
+        let on_full = move || {
+            // Fails only if the actor has stopped.
+            let _ = myself.send_message(ReplicaMessage::DiskFull);
+        };
+        let Some(write) = self.writer.start(on_full) else {
             return;
         };
         let myself = self.myself.clone();
@@ -167,6 +176,7 @@
     /// Sends the messages that waited for a batch, and tells the protocol which entries are
     /// durable.
     pub(super) fn on_batch_written(&mut self, result: Result<WrittenBatch, DiskError>) {
+        self.disk_full = false;
         let finished = match result {
             Ok(written) => self.writer.finish(written),
             Err(error) => return self.fail(&error),
--- a/crates/fleet/src/controllers/replica/serve.rs
+++ b/crates/fleet/src/controllers/replica/serve.rs
@@ -50,9 +50,23 @@
             return Some(ReplicaError::Stopped);
         }
         let leads = self.replica.node().leads();
-        (!leads).then(|| ReplicaError::NotLeader {
-            leader: self.leader(),
-        })
+        match (leads, self.disk_full) {
+            (true, false) => None,
+            (true, true) => Some(ReplicaError::NotLeader { leader: None }),
+            (false, _) => Some(ReplicaError::NotLeader {
+                leader: self.leader(),
+            }),
+        }
+    }
+
+    /// Refuses the queued commands of a leader whose disk is full. Those in the log are answered once
+    /// another replica leads.
+    pub(super) fn on_disk_full(&mut self) {
+        self.disk_full = true;
+        for (proposal, _) in std::mem::take(&mut self.queue) {
+            let error = ReplicaError::NotLeader { leader: None };
+            let _ = proposal.reply.send(Err(error));
+        }
     }
 
     /// Returns the address of the leader, if known: the one in the membership, or else the one at
--- a/crates/fleet/src/controllers/replica/start.rs
+++ b/crates/fleet/src/controllers/replica/start.rs
@@ -1,12 +1,15 @@
 //! Starts a replica.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use chestnutnotch_core::id::ReplicaId;
+use chestnutnotch_core::replica::DurableState;
 use chestnutnotch_core::replica::Replica;
 use chestnutnotch_core::replica::Timing;
 use chestnutnotch_core::unit::Millis;
@@ -22,6 +25,9 @@
 use super::apply::Applied;
 use super::error::StartError;
 use super::handle::ReplicaHandle;
+use super::writer::FULL_RETRY_PERIOD;
+use crate::edges::disk::DiskError;
+use crate::edges::disk::DiskFaults;
 use crate::edges::disk::Folder;
 use crate::edges::rpc::peer::Inbound;
 use crate::edges::rpc::peer::LinkFaults;
@@ -51,10 +57,12 @@
     peers: &[SocketAddr],
     timer: &Timer,
 ) -> Result<(ReplicaHandle, PeerService), StartError> {
-    start_with(settings, peers, timer, LinkFaults::default()).await
+    let (switch, disk) = (LinkFaults::default(), DiskFaults::default());
+    start_with(settings, peers, timer, switch, disk).await
 }
 
-/// Like [`start`], with a switch that cuts connections between replicas, for tests.
+/// Like [`start`], with a switch that cuts connections between replicas and simulated room on the
+/// disk, for tests.
 ///
 /// # Errors
 ///
@@ -64,11 +72,12 @@
     peers: &[SocketAddr],
     timer: &Timer,
     switch: LinkFaults,
+    disk: DiskFaults,
 ) -> Result<(ReplicaHandle, PeerService), StartError> {
     let new_id = ReplicaId(getrandom::u64().map_err(StartError::Random)?);
     let seed = getrandom::u64().map_err(StartError::Random)?;
     let data = settings.data.clone();
-    let open = tokio::task::spawn_blocking(move || Folder::open(&data, new_id));
+    let open = tokio::task::spawn_blocking(move || open_with_room(&data, new_id, &disk));
     let (folder, durable) = open.await.map_err(|_| StartError::Runtime)??;
     let applied = Applied::restore(&durable.snapshot).map_err(|_| StartError::Machine)?;
     let timing = Timing {
@@ -107,6 +116,27 @@
     Ok((handle, PeerService::new(tx)))
 }
 
+/// Opens the data folder. Tries again while the disk is full.
+fn open_with_room(
+    path: &Path,
+    new_id: ReplicaId,
+    disk: &DiskFaults,
+) -> Result<(Folder, DurableState), DiskError> {
+    let mut is_full = false;
+    loop {
+        match Folder::open_with(path, new_id, disk.clone()) {
+            Err(error @ DiskError::Full { .. }) => {
+                if !is_full {
+                    log::error!("the replica does not start before there is room: {error}");
+                }
+                is_full = true;
+                thread::sleep(FULL_RETRY_PERIOD);
+            }
+            opened => return opened,
+        }
+    }
+}
+
 /// Forwards messages of peers to the actor, whose mailbox has no limit of its own. A permit for
 /// each one limits how many are pending there.
 async fn forward_inbound(actor: ActorRef<ReplicaMessage>, mut inbox: mpsc::Receiver<Inbound>) {
--- a/crates/fleet/src/controllers/replica/writer.rs
+++ b/crates/fleet/src/controllers/replica/writer.rs
@@ -1,6 +1,12 @@
 //! Batches disk writes, one batch at a time, and holds back messages until the writes before them
 //! are durable.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
 use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::replica::Message;
 use chestnutnotch_core::replica::Position;
@@ -30,6 +36,9 @@
     pub last: Option<Position>,
 }
 
+/// Time after which a write is tried again that found the disk full.
+pub const FULL_RETRY_PERIOD: Duration = Duration::from_millis(100);
+
 /// Queue of disk writes. Those that arrive while a batch is written form the next one.
 #[derive(Debug)]
 pub struct Writer {
@@ -41,6 +50,8 @@
     queued_messages: Vec<Outgoing>,
     /// Messages that wait for the batch that is being written.
     batch_messages: Vec<Outgoing>,
+    /// Whether to give up on a full disk.
+    stopping: Arc<AtomicBool>,
 }
 
 impl Writer {
@@ -51,9 +62,15 @@
             saves: Vec::new(),
             queued_messages: Vec::new(),
             batch_messages: Vec::new(),
+            stopping: Arc::default(),
         }
     }
 
+    /// Lets a batch fail that waits for room on the disk. Those to come do not wait.
+    pub fn give_up(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
     /// Whether a batch is being written.
     pub fn busy(&self) -> bool {
         self.folder.is_none()
@@ -77,11 +94,14 @@
         None
     }
 
-    /// Starts the next batch, if there is one and none is being written. The caller runs the
+    /// Starts the next batch, if there is one and none is being written. While the disk is full the
+    /// batch is not done, as on a disk that stalls: nothing is lost, and nothing that depends on it
+    /// is sent; `on_full` is called once then. The caller runs the
     /// returned function on a thread that may block, and passes its result to [`Writer::finish`].
-    pub fn start(
+    pub fn start<F: FnOnce() + Send>(
         &mut self,
-    ) -> Option<impl FnOnce() -> Result<WrittenBatch, DiskError> + Send + use<>> {
+        on_full: F,
+    ) -> Option<impl FnOnce() -> Result<WrittenBatch, DiskError> + Send + use<F>> {
         if self.saves.is_empty() {
             return None;
         }
@@ -89,8 +109,9 @@
         let saves = std::mem::take(&mut self.saves);
         self.batch_messages = std::mem::take(&mut self.queued_messages);
         let last = saves.iter().rev().find_map(last_position);
+        let stopping = Arc::clone(&self.stopping);
         Some(move || {
-            folder.write(saves)?;
+            write_with_room(&mut folder, saves, &stopping, on_full)?;
             Ok(WrittenBatch { folder, last })
         })
     }
@@ -105,6 +126,36 @@
     }
 }
 
+/// Writes to the folder. Tries again while the disk is full, unless the replica stops.
+fn write_with_room(
+    folder: &mut Folder,
+    saves: Vec<Save>,
+    stopping: &AtomicBool,
+    on_full: impl FnOnce(),
+) -> Result<(), DiskError> {
+    match folder.write(saves.clone()) {
+        Err(error @ DiskError::Full { .. }) => {
+            log::error!("the replica waits for room on the disk: {error}");
+            on_full();
+        }
+        written => return written,
+    }
+    loop {
+        if !stopping.load(Ordering::Acquire) {
+            thread::sleep(FULL_RETRY_PERIOD);
+        }
+        let written = folder.repair().and_then(|()| folder.write(saves.clone()));
+        match written {
+            Err(DiskError::Full { .. }) if !stopping.load(Ordering::Acquire) => {}
+            Ok(()) => {
+                log::info!("the disk of the replica has room again");
+                return Ok(());
+            }
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 /// Returns the position of the last entry that a write makes durable. A compaction writes no
 /// entries.
 fn last_position(save: &Save) -> Option<Position> {
--- a/crates/fleet/src/controllers/spool.rs
+++ b/crates/fleet/src/controllers/spool.rs
@@ -134,9 +134,11 @@
             SpoolMessage::Committed(count) => {
                 state.round_active = false;
                 if count > 0 {
-                    state
+                    let removed = state
                         .run_blocking(move |spool| spool.remove_committed(count))
-                        .await??;
+                        .await?;
+                    // The file keeps the bills until the next time. They may be submitted again.
+                    unless_full(removed)?;
                 }
             }
             SpoolMessage::Unsealed(status, holders) => {
@@ -187,10 +189,9 @@
     /// Seals a holder in the spool, and submits the seal once no bill of the holder is left in it.
     async fn seal(&self, status: &ReplicaStatus, holder: Holder) -> Result<(), ActorProcessingErr> {
         let sealed = holder.clone();
-        let empty = self
-            .run_blocking(move |spool| spool.seal(&sealed))
-            .await??;
-        if !empty {
+        let empty = self.run_blocking(move |spool| spool.seal(&sealed)).await?;
+        // The next round tries again.
+        if unless_full(empty)? != Some(true) {
             return Ok(());
         }
         let seal = Seal {
@@ -207,6 +208,18 @@
     }
 }
 
+/// Returns the result of an operation, or `None` if the disk was full.
+fn unless_full<T>(result: Result<T, SpoolError>) -> Result<Option<T>, SpoolError> {
+    match result {
+        Ok(value) => Ok(Some(value)),
+        Err(error @ SpoolError::Full { .. }) => {
+            log::warn!(error:% = error; "the bill spool has no room");
+            Ok(None)
+        }
+        Err(error) => Err(error),
+    }
+}
+
 fn lock(spool: &Mutex<Spool>) -> MutexGuard<'_, Spool> {
     spool.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/fleet/src/edges/disk/error.rs
+++ b/crates/fleet/src/edges/disk/error.rs
@@ -7,7 +7,8 @@
 use chestnutnotch_core::id::ReplicaId;
 use thiserror::Error;
 
-/// Error of the data folder. The replica stops, or does not start, after any of them.
+/// Error of the data folder. The replica stops, or does not start, after any of them but
+/// [`DiskError::Full`], after which the write may be repeated.
 #[derive(Debug, Error)]
 pub enum DiskError {
     /// No space is left.
@@ -74,8 +75,16 @@
     pub fn from_io(path: &Path, source: io::Error) -> Self {
         let path = path.to_path_buf();
         match source.kind() {
-            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => Self::Full { path },
+            kind if is_full(kind) => Self::Full { path },
             _ => Self::Io { path, source },
         }
     }
 }
+
+/// Returns whether an error says that there is no room on the disk.
+pub fn is_full(kind: io::ErrorKind) -> bool {
+    matches!(
+        kind,
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+    )
+}
--- a/crates/fleet/src/edges/disk/file.rs
+++ b/crates/fleet/src/edges/disk/file.rs
@@ -3,28 +3,39 @@
 use std::fs;
 use std::fs::File;
 use std::io;
-use std::io::Write;
 use std::path::Path;
 
 use super::error::DiskError;
+use super::faults::DiskFaults;
 use super::frame;
 use super::frame::FrameError;
 
 /// Writes a file with one frame atomically: a crash leaves either the old file or the new one.
 /// Writes a temporary file, syncs it and renames it.
-pub fn write_atomically(folder: &Path, name: &str, payload: &[u8]) -> Result<(), DiskError> {
+pub fn write_atomically(
+    folder: &Path,
+    name: &str,
+    payload: &[u8],
+    faults: &DiskFaults,
+) -> Result<(), DiskError> {
     let path = folder.join(name);
     let temporary = folder.join(format!("{name}.new"));
     let bytes = encode(&path, payload)?;
     let mut file = File::create(&temporary).map_err(|e| DiskError::from_io(&temporary, e))?;
-    append_and_sync(&mut file, &temporary, &bytes)?;
+    append_and_sync(&mut file, &temporary, &bytes, faults)?;
     fs::rename(&temporary, &path).map_err(|e| DiskError::from_io(&path, e))?;
     sync_folder(folder)
 }
 
 /// Writes at the current position, which is the end of the file, and syncs the data.
-pub fn append_and_sync(file: &mut File, path: &Path, bytes: &[u8]) -> Result<(), DiskError> {
-    file.write_all(bytes)
+pub fn append_and_sync(
+    file: &mut File,
+    path: &Path,
+    bytes: &[u8],
+    faults: &DiskFaults,
+) -> Result<(), DiskError> {
+    faults
+        .write_all(file, bytes)
         .and_then(|()| file.sync_data())
         .map_err(|e| DiskError::from_io(path, e))
 }
--- a/crates/fleet/src/edges/disk/folder.rs
+++ b/crates/fleet/src/edges/disk/folder.rs
@@ -4,6 +4,8 @@
 use std::fs::File;
 use std::fs::OpenOptions;
 use std::fs::TryLockError;
+use std::io::Seek;
+use std::io::SeekFrom;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -16,6 +18,7 @@
 use chestnutnotch_core::unit::Term;
 
 use super::error::DiskError;
+use super::faults::DiskFaults;
 use super::file;
 use super::history::History;
 use super::history::last_index;
@@ -44,6 +47,8 @@
     closed: Vec<ClosedSegment>,
     /// The segment being written.
     active: ActiveSegment,
+    /// Room on the disk.
+    faults: DiskFaults,
     /// Lock file; closing it releases the lock.
     _lock: File,
 }
@@ -68,6 +73,8 @@
     path: PathBuf,
     /// The open file, positioned at its end.
     file: File,
+    /// Length of its complete frames, in bytes.
+    end: u64,
 }
 
 impl Folder {
@@ -79,15 +86,28 @@
     /// Any [`DiskError`]. Only the remains of an interrupted write are repaired: an incomplete last
     /// frame is cut off, and a last segment without a start record is removed.
     pub fn open(path: &Path, new_id: ReplicaId) -> Result<(Self, DurableState), DiskError> {
+        Self::open_with(path, new_id, DiskFaults::default())
+    }
+
+    /// Like [`Folder::open`], with simulated room on the disk, for tests.
+    ///
+    /// # Errors
+    ///
+    /// Any [`DiskError`].
+    pub fn open_with(
+        path: &Path,
+        new_id: ReplicaId,
+        faults: DiskFaults,
+    ) -> Result<(Self, DurableState), DiskError> {
         fs::create_dir_all(path).map_err(|e| DiskError::from_io(path, e))?;
         let lock = lock(path)?;
         let segment_numbers = segment_numbers(path)?;
         let identity = path.join(identity::FILE_NAME);
         let Some(bytes) = file::read_if_exists(&identity)? else {
-            return Self::create(path, new_id, &segment_numbers, lock);
+            return Self::create(path, new_id, &segment_numbers, lock, faults);
         };
         let id = identity::decode(&bytes).map_err(|e| file::at_path(&identity, e))?;
-        Self::load(path, id, segment_numbers, lock)
+        Self::load(path, id, segment_numbers, lock, faults)
     }
 
     /// Returns the identity of the replica.
@@ -95,8 +115,9 @@
         self.id
     }
 
-    /// Makes writes durable. Consecutive votes and entries share one sync. After an error the state
-    /// of the folder is unknown and it has to be opened again.
+    /// Makes writes durable. Consecutive votes and entries share one sync. After
+    /// [`DiskError::Full`], [`Folder::repair`] and the same writes may be tried again. After another
+    /// error the state of the folder is unknown and it has to be opened again.
     ///
     /// # Errors
     ///
@@ -124,6 +145,25 @@
         self.flush(&mut records)
     }
 
+    /// Removes what a write left behind that failed for want of room.
+    ///
+    /// # Errors
+    ///
+    /// Any [`DiskError`].
+    pub fn repair(&mut self) -> Result<(), DiskError> {
+        // The segment after the current one, if the write began it.
+        let next = segment::file_name(self.active.number + 1);
+        file::remove_if_exists(&self.path.join(next))?;
+        let active = &mut self.active;
+        let cut = active
+            .file
+            .set_len(active.end)
+            .and_then(|()| active.file.seek(SeekFrom::Start(active.end)))
+            .and_then(|_| active.file.sync_all());
+        cut.map_err(|e| DiskError::from_io(&active.path, e))?;
+        file::sync_folder(&self.path)
+    }
+
     /// Appends records to the current segment as one frame, syncs it, and clears `records`.
     fn flush(&mut self, records: &mut Vec<Record>) -> Result<(), DiskError> {
         if records.is_empty() {
@@ -131,7 +171,8 @@
         }
         let path = &self.active.path;
         let bytes = file::encode(path, &encode(path, records)?)?;
-        file::append_and_sync(&mut self.active.file, path, &bytes)?;
+        file::append_and_sync(&mut self.active.file, path, &bytes, &self.faults)?;
+        self.active.end += bytes.len() as u64;
         for record in records.drain(..) {
             if let Some(last) = last_index(&record) {
                 self.active.last = self.active.last.max(last);
@@ -144,7 +185,7 @@
     /// If `reset` is set, the snapshot replaces all entries written so far.
     fn write_snapshot(&mut self, snapshot: &Snapshot, reset: bool) -> Result<(), DiskError> {
         let payload = encode(&self.path, snapshot)?;
-        file::write_atomically(&self.path, snapshot::FILE_NAME, &payload)?;
+        file::write_atomically(&self.path, snapshot::FILE_NAME, &payload, &self.faults)?;
         let start = Start {
             replica: self.id,
             number: self.active.number + 1,
@@ -155,7 +196,7 @@
         };
         let old = std::mem::replace(
             &mut self.active,
-            ActiveSegment::create_file(&self.path, start)?,
+            ActiveSegment::create_file(&self.path, start, &self.faults)?,
         );
         self.closed.push(ClosedSegment {
             number: old.number,
@@ -180,6 +221,7 @@
         id: ReplicaId,
         segment_numbers: &[u64],
         lock: File,
+        faults: DiskFaults,
     ) -> Result<(Self, DurableState), DiskError> {
         require_no_state(path, segment_numbers)?;
         let start = Start {
@@ -190,9 +232,10 @@
             term: Term::ZERO,
             vote: None,
         };
-        let active = ActiveSegment::create_file(path, start)?;
+        let active = ActiveSegment::create_file(path, start, &faults)?;
         // The identity is written last, so that a folder with an identity always has a log.
-        file::write_atomically(path, identity::FILE_NAME, &identity::payload(id))?;
+        let payload = identity::payload(id);
+        file::write_atomically(path, identity::FILE_NAME, &payload, &faults)?;
         let folder = Self {
             path: path.to_path_buf(),
             id,
@@ -200,6 +243,7 @@
             vote: None,
             closed: Vec::new(),
             active,
+            faults,
             _lock: lock,
         };
         Ok((folder, DurableState::default()))
@@ -211,6 +255,7 @@
         id: ReplicaId,
         mut segment_numbers: Vec<u64>,
         lock: File,
+        faults: DiskFaults,
     ) -> Result<(Self, DurableState), DiskError> {
         let snapshot = load_snapshot(path)?;
         let mut history = History::default();
@@ -224,6 +269,7 @@
             vote: history.vote,
             closed,
             active,
+            faults,
             _lock: lock,
         };
         let durable = DurableState {
@@ -238,18 +284,19 @@
 
 impl ActiveSegment {
     /// Creates a segment that begins with a start record.
-    fn create_file(folder: &Path, start: Start) -> Result<Self, DiskError> {
+    fn create_file(folder: &Path, start: Start, faults: &DiskFaults) -> Result<Self, DiskError> {
         let path = folder.join(segment::file_name(start.number));
         let mut file = File::create(&path).map_err(|e| DiskError::from_io(&path, e))?;
         let payload = encode(&path, &[Record::Start(start)][..])?;
         let bytes = file::encode(&path, &payload)?;
-        file::append_and_sync(&mut file, &path, &bytes)?;
+        file::append_and_sync(&mut file, &path, &bytes, faults)?;
         file::sync_folder(folder)?;
         Ok(Self {
             number: start.number,
             last: Index::ZERO,
             path,
             file,
+            end: bytes.len() as u64,
         })
     }
 
@@ -268,6 +315,7 @@
             last,
             path,
             file,
+            end: end as u64,
         })
     }
 }
--- a/crates/fleet/src/edges/disk/mod.rs
+++ b/crates/fleet/src/edges/disk/mod.rs
@@ -13,6 +13,7 @@
 //! any other damage to these files is a [`DiskError`].
 
 mod error;
+mod faults;
 mod file;
 mod folder;
 pub mod frame;
@@ -23,4 +24,5 @@
 pub mod spool;
 
 pub use error::DiskError;
+pub use faults::DiskFaults;
 pub use folder::Folder;
--- a/crates/fleet/src/edges/disk/spool.rs
+++ b/crates/fleet/src/edges/disk/spool.rs
@@ -9,7 +9,6 @@
 use std::fs::OpenOptions;
 use std::io;
 use std::io::Read;
-use std::io::Write;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -20,6 +19,9 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use super::error::is_full;
+use super::faults::DiskFaults;
+
 /// Name of the spool file.
 const FILE: &str = "bills.spool";
 /// Name of the file that replaces it, until it is renamed.
@@ -33,7 +35,7 @@
 /// Error of the spool.
 #[derive(Debug, Error)]
 pub enum SpoolError {
-    /// The operating system reported an error, such as a full disk.
+    /// The operating system reported another error.
     #[error("{path}: {source}")]
     Io {
         /// The file.
@@ -41,6 +43,12 @@
         /// Error of the operating system.
         source: io::Error,
     },
+    /// No space is left on the disk. Nothing was kept, and the operation may be tried again.
+    #[error("{path}: no space left")]
+    Full {
+        /// The file.
+        path: PathBuf,
+    },
     /// A record before the last one is damaged.
     #[error("{path}: corrupt record at byte {offset}")]
     Corrupt {
@@ -77,6 +85,12 @@
     bills: Vec<Bill>,
     /// Holders whose bills are refused.
     sealed: Set<Holder>,
+    /// Length of the complete records in the file, in bytes.
+    end: u64,
+    /// Whether something may follow them that a failed write has left.
+    torn: bool,
+    /// Room on the disk.
+    faults: DiskFaults,
 }
 
 impl Spool {
@@ -85,14 +99,20 @@
     ///
     /// # Errors
     ///
-    /// [`SpoolError::Io`] and [`SpoolError::Corrupt`].
+    /// [`SpoolError::Io`], [`SpoolError::Full`] and [`SpoolError::Corrupt`].
     pub fn open(folder: impl AsRef<Path>) -> Result<Self, SpoolError> {
+        Self::open_with(folder, DiskFaults::default())
+    }
+
+    /// Like [`Spool::open`], with simulated room on the disk, for tests.
+    ///
+    /// # Errors
+    ///
+    /// [`SpoolError::Io`], [`SpoolError::Full`] and [`SpoolError::Corrupt`].
+    pub fn open_with(folder: impl AsRef<Path>, faults: DiskFaults) -> Result<Self, SpoolError> {
         let folder = folder.as_ref().to_path_buf();
         let path = folder.join(FILE);
-        let io = |source| SpoolError::Io {
-            path: path.clone(),
-            source,
-        };
+        let io = |source| io_error(path.clone(), source);
         let mut file = OpenOptions::new()
             .read(true)
             .append(true)
@@ -117,6 +137,9 @@
             file,
             bills: Vec::new(),
             sealed: Set::default(),
+            end: end as u64,
+            torn: false,
+            faults,
         };
         for record in records {
             match record {
@@ -139,7 +162,7 @@
     /// # Errors
     ///
     /// [`SpoolError::Sealed`] if a holder is sealed here, and [`SpoolError::TooLarge`]; none of the
-    /// bills is kept then. [`SpoolError::Io`].
+    /// bills is kept then. [`SpoolError::Io`] and [`SpoolError::Full`].
     pub fn add(&mut self, bills: Vec<Bill>) -> Result<(), SpoolError> {
         if let Some(bill) = bills.iter().find(|bill| self.sealed.contains(&bill.holder)) {
             return Err(SpoolError::Sealed(bill.holder.clone()));
@@ -185,13 +208,29 @@
 
     /// Appends encoded records and syncs the file.
     fn append(&mut self, bytes: &[u8]) -> Result<(), SpoolError> {
-        self.file
-            .write_all(bytes)
-            .and_then(|()| self.file.sync_data())
-            .map_err(|source| SpoolError::Io {
-                path: self.folder.join(FILE),
-                source,
-            })
+        self.write_and_sync(bytes)
+            .map_err(|source| io_error(self.folder.join(FILE), source))
+    }
+
+    /// Appends bytes after the complete records and syncs the file.
+    fn write_and_sync(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.cut_torn()?;
+        self.torn = true;
+        self.faults.write_all(&mut self.file, bytes)?;
+        self.file.sync_data()?;
+        self.torn = false;
+        self.end += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Removes what a failed write has left after the complete records.
+    fn cut_torn(&mut self) -> io::Result<()> {
+        if self.torn {
+            // The file is open for appending, so there is no position to move.
+            self.file.set_len(self.end)?;
+            self.torn = false;
+        }
+        Ok(())
     }
 
     /// Replaces the file by one that contains only the seals.
@@ -202,21 +241,40 @@
         }
         let temp = self.folder.join(TEMP_FILE);
         let path = self.folder.join(FILE);
-        self.file = write_atomically(&self.folder, &temp, &path, &bytes)
-            .map_err(|source| SpoolError::Io { path, source })?;
+        self.cut_torn()
+            .map_err(|source| io_error(path.clone(), source))?;
+        let replaced = write_atomically(&self.folder, &temp, &path, &bytes, &self.faults);
+        // After an error, the path may name the old file or the new one.
+        let current = OpenOptions::new().append(true).open(&path);
+        let io = |source| io_error(path.clone(), source);
+        self.file = current.map_err(io)?;
+        self.end = self.file.metadata().map_err(io)?.len();
+        replaced.map_err(io)?;
         Ok(())
     }
 }
 
-/// Replaces a file atomically: writes a temporary file, syncs it and renames it. Returns the new
-/// file, open for appending.
-fn write_atomically(folder: &Path, temp: &Path, path: &Path, bytes: &[u8]) -> io::Result<File> {
+/// Returns the error for a failed operation on the file.
+fn io_error(path: PathBuf, source: io::Error) -> SpoolError {
+    match is_full(source.kind()) {
+        true => SpoolError::Full { path },
+        false => SpoolError::Io { path, source },
+    }
+}
+
+/// Replaces a file atomically: writes a temporary file, syncs it and renames it.
+fn write_atomically(
+    folder: &Path,
+    temp: &Path,
+    path: &Path,
+    bytes: &[u8],
+    faults: &DiskFaults,
+) -> io::Result<()> {
     let mut file = File::create(temp)?;
-    file.write_all(bytes)?;
+    faults.write_all(&mut file, bytes)?;
     file.sync_all()?;
     std::fs::rename(temp, path)?;
-    File::open(folder)?.sync_all()?;
-    OpenOptions::new().append(true).open(path)
+    File::open(folder)?.sync_all()
 }
 
 /// Appends a record with its header to `out`.
--- a/crates/fleet/tests/replica_support/mod.rs
+++ b/crates/fleet/tests/replica_support/mod.rs
@@ -11,6 +11,7 @@
 use chestnutnotch::controllers::replica::ReplicaError;
 use chestnutnotch::controllers::replica::ReplicaHandle;
 use chestnutnotch::controllers::replica::start_with;
+use chestnutnotch::edges::disk::DiskFaults;
 use chestnutnotch::edges::rpc::peer::LinkFaults;
 use chestnutnotch::settings::ReplicaSettings;
 use chestnutnotch::timer::Timer;
@@ -53,6 +54,8 @@
     pub addresses: Vec<SocketAddr>,
     /// Cuts connections between replicas.
     pub switch: LinkFaults,
+    /// Room on the disks of the replicas.
+    pub disks: Vec<DiskFaults>,
     /// The replicas; `None` for one that is stopped.
     pub replicas: Vec<Option<RunningReplica>>,
     /// Number of log entries between two snapshots.
@@ -131,11 +134,13 @@
             folder: tempfile::tempdir().unwrap(),
             addresses,
             switch: LinkFaults::default(),
+            disks: Vec::new(),
             replicas: Vec::new(),
             snapshot,
             election: 300,
             relays: Vec::new(),
         };
+        group.disks = (0..count).map(|_| DiskFaults::default()).collect();
         for _ in 0..if relayed { count } else { 0 } {
             let mut relays = Vec::new();
             for target in &group.addresses {
@@ -172,7 +177,8 @@
                 peers[other] = relay.address;
             }
         }
-        let started = start_with(&settings, &peers, &timer, self.switch.clone()).await;
+        let (switch, disk) = (self.switch.clone(), self.disks[at].clone());
+        let started = start_with(&settings, &peers, &timer, switch, disk).await;
         let (handle, service) = started.unwrap();
         let server = Server::builder().add_service(service.into_server());
         let incoming = TcpListenerStream::new(listener);
