Test: wait for the group before its first disk is full

Trace with logs: the disk of the replica that creates the group was full before the group existed; the others are blank and wait for it, as they have to. The test now begins with a committed change, and asks for the same afterwards.

--- a/crates/fleet/tests/full_disk.rs
+++ b/crates/fleet/tests/full_disk.rs
@@ -283,7 +283,9 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn acknowledged_changes_survive_restarts_of_replicas_whose_disks_were_full() {
     let mut group = Group::start(3, 7).await;
-    let mut number = 0;
+    // Until the group exists, it waits for the disk of the replica that creates it.
+    publish_all(&group, 0..1).await;
+    let mut number = 1;
     for at in 0..3 {
         group.disks[at].set_room(Some(100));
         publish_all(&group, number..number + 10).await;
