Log and gossip the software versions of upstreams, and streams that callers take up

Control hosts now gossip the version of each start, routers log it with streams that break off and go on, and requests that take up a stream have a line and a counter. What is sent to upstreams is unchanged.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -87,6 +87,11 @@
     /// A back end: one worker process of a model or a plain service.
     Upstream
 }
+name! {
+    /// Version of an upstream's software, as it states it. Versions are equal or not; they have no
+    /// order.
+    Release
+}
 name! {
     /// A person or program that changes the fleet's configuration or state; named in the audit
     /// trail.
--- a/crates/core/src/roster/fact.rs
+++ b/crates/core/src/roster/fact.rs
@@ -14,6 +14,7 @@
 use crate::upstream::Evidence;
 use crate::upstream::Finding;
 use crate::upstream::Proof;
+use crate::upstream::ReleaseNotice;
 use crate::upstream::rate::RateNotice;
 use crate::upstream::rate::ShareGrant;
 use crate::upstream::rate::ShareRequest;
@@ -54,6 +55,8 @@
     ShareRequest(Box<ShareRequest>),
     /// The answer to such a request; not passed on.
     ShareGrant(Box<ShareGrant>),
+    /// Software versions of starts of upstreams.
+    Releases(Vec<ReleaseNotice>),
 }
 
 impl From<Finding> for Fact {
@@ -79,6 +82,10 @@
             }
             (Self::Proof(one), Self::Proof(other)) => one.part == other.part,
             (Self::Rate(one), Self::Rate(other)) => one.upstream == other.upstream,
+            (Self::Releases(one), Self::Releases(other)) => {
+                let one = one.iter().map(|notice| &notice.upstream);
+                one.eq(other.iter().map(|notice| &notice.upstream))
+            }
             _ => false,
         }
     }
@@ -91,7 +98,8 @@
             | Self::Proof(_)
             | Self::Rate(_)
             | Self::ShareRequest(_)
-            | Self::ShareGrant(_) => true,
+            | Self::ShareGrant(_)
+            | Self::Releases(_) => true,
         }
     }
 }
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -16,6 +16,7 @@
 pub mod prefix;
 pub mod quarantine;
 pub mod rate;
+pub mod release;
 mod row;
 
 pub mod status;
@@ -40,6 +41,7 @@
 pub use pause::MAX_PAUSE;
 pub use pause::Pause;
 pub use quarantine::Crash;
+pub use release::ReleaseNotice;
 pub use status::Availability;
 pub use status::Pool;
 pub use status::Probe;
--- /dev/null
+++ b/crates/core/src/upstream/release.rs
@@ -0,0 +1,111 @@
+//! Software versions of upstreams.
+//!
+//! A version belongs to one start of an upstream. A start that stated several has none: what it
+//! serves can't be told. Notices of one upstream can be merged in any order and any number of times.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::Release;
+use crate::id::Upstream;
+use crate::map::Map;
+use crate::unit::Incarnation;
+use crate::unit::Millis;
+
+/// Longest software version, in bytes, so that notices of many upstreams fit in a packet.
+pub const MAX_RELEASE_BYTES: usize = 64;
+
+/// Most notices in one item of gossip.
+pub const MAX_NOTICES: usize = 16;
+
+/// The software version of one start of an upstream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReleaseNotice {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// The version; `None` if the start stated several.
+    pub release: Option<Release>,
+}
+
+impl ReleaseNotice {
+    /// Returns whether an upstream can have stated this.
+    fn is_valid(&self) -> bool {
+        self.release.as_ref().is_none_or(is_valid)
+    }
+}
+
+/// Returns whether a text can be a software version: 1 to [`MAX_RELEASE_BYTES`] bytes without control
+/// characters.
+pub fn is_valid(release: &Release) -> bool {
+    let text = release.as_str();
+    (1..=MAX_RELEASE_BYTES).contains(&text.len()) && !text.chars().any(char::is_control)
+}
+
+/// The software versions that a node knows.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ReleaseBook {
+    known: Map<Upstream, KnownRelease>,
+}
+
+#[derive(Clone, Debug)]
+struct KnownRelease {
+    incarnation: Incarnation,
+    release: Option<Release>,
+    heard_at: Millis,
+}
+
+impl ReleaseBook {
+    /// Applies a notice. Returns whether it was news. With `limit` upstreams known, further ones are
+    /// ignored.
+    pub fn observe(&mut self, now: Millis, notice: &ReleaseNotice, limit: usize) -> bool {
+        if !notice.is_valid() {
+            return false;
+        }
+        let is_full = self.known.len() >= limit;
+        let release = match self.known.get_mut(&notice.upstream) {
+            None if is_full => return false,
+            Some(known) if known.incarnation > notice.incarnation => return false,
+            Some(known) if known.incarnation == notice.incarnation => {
+                known.heard_at = now;
+                match known.release == notice.release || known.release.is_none() {
+                    true => return false,
+                    false => None,
+                }
+            }
+            _ => notice.release.clone(),
+        };
+        let known = KnownRelease {
+            incarnation: notice.incarnation,
+            release,
+            heard_at: now,
+        };
+        self.known.insert(notice.upstream.clone(), known);
+        true
+    }
+
+    /// Returns the version of a start, if it is known.
+    pub fn get(&self, upstream: &Upstream, incarnation: Incarnation) -> Option<&Release> {
+        let known = self.known.get(upstream)?;
+        let release = known.release.as_ref();
+        release.filter(|_| known.incarnation == incarnation)
+    }
+
+    /// Returns what is known of an upstream, for nodes that missed it.
+    pub fn notice(&self, upstream: &Upstream) -> Option<ReleaseNotice> {
+        let known = self.known.get(upstream)?;
+        Some(ReleaseNotice {
+            upstream: upstream.clone(),
+            incarnation: known.incarnation,
+            release: known.release.clone(),
+        })
+    }
+
+    /// Removes the upstreams that are not in use and were not heard of since `oldest`. A notice may
+    /// arrive before the announcement of its upstream.
+    pub fn retain(&mut self, oldest: Millis, is_used: impl Fn(&Upstream) -> bool) {
+        self.known
+            .retain(|upstream, known| known.heard_at >= oldest || is_used(upstream));
+    }
+}
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -9,6 +9,7 @@
 use crate::id::Fingerprint;
 use crate::id::Host;
 use crate::id::PromptPart;
+use crate::id::Release;
 use crate::id::Upstream;
 use crate::map::Map;
 use crate::unit::Incarnation;
@@ -34,6 +35,7 @@
 use super::quarantine::Quarantine;
 use super::quarantine::RequestState;
 use super::rate::RateBook;
+use super::release::ReleaseBook;
 use super::row::Row;
 use super::status::Pool;
 use super::status::Probe;
@@ -41,6 +43,7 @@
 
 mod pauses;
 mod rates;
+mod releases;
 
 pub use rates::LimitedUpstream;
 
@@ -79,6 +82,8 @@
     pub upstream: Upstream,
     /// Its latest known start.
     pub incarnation: Incarnation,
+    /// Software version of that start, if known.
+    pub release: Option<Release>,
     /// Address to connect to.
     pub address: SocketAddr,
     /// Whether the caller has to probe the upstream first, and use it only if it is ready.
@@ -168,6 +173,8 @@
     parts: PartQuarantine,
     /// Rates that upstreams name.
     rates: RateBook,
+    /// Software versions of upstreams.
+    releases: ReleaseBook,
     /// Assignment of upstreams to the routers of this data centre.
     assignment: Assignment,
     /// Number of routers that send requests to the same upstreams; 0 if not known.
@@ -276,6 +283,7 @@
             quarantine: Quarantine::default(),
             parts: PartQuarantine::new(config.evidence_ttl, seed),
             rates: RateBook::default(),
+            releases: ReleaseBook::default(),
             assignment: Assignment::default(),
             routers: 0,
             revision: 0,
@@ -532,9 +540,10 @@
         self.active.insert(self.last_attempt, active);
         Some(Pick {
             attempt: self.last_attempt,
-            upstream,
-            incarnation: row.announcement.incarnation,
+            incarnation,
+            release: self.releases.get(&upstream, incarnation).cloned(),
             address: row.announcement.address,
+            upstream,
             needs_probe,
             paused,
         })
@@ -796,6 +805,9 @@
         self.parts.expire(now);
         let rows = &self.rows;
         self.rates.retain(|upstream| rows.contains_key(upstream));
+        let oldest = now.saturating_sub(forget);
+        self.releases
+            .retain(oldest, |upstream| rows.contains_key(upstream));
     }
 
     /// Returns the state of each known upstream, for `status` and metrics.
--- /dev/null
+++ b/crates/core/src/upstream/table/releases.rs
@@ -0,0 +1,29 @@
+//! Software versions of the upstreams in the table.
+
+use crate::id::Release;
+use crate::id::Upstream;
+use crate::unit::Incarnation;
+use crate::unit::Millis;
+
+use super::Table;
+use crate::upstream::release::ReleaseNotice;
+
+impl Table {
+    /// Applies the software version of a start. Returns whether it was news and has to be passed on.
+    pub fn observe_release(&mut self, now: Millis, notice: &ReleaseNotice) -> bool {
+        let limit = self.config.max_upstreams;
+        self.releases.observe(now, notice, limit)
+    }
+
+    /// Returns the software version of a start, if it is known for certain.
+    pub fn release(&self, upstream: &Upstream, incarnation: Incarnation) -> Option<&Release> {
+        self.releases.get(upstream, incarnation)
+    }
+
+    /// Returns the software versions of the upstreams whose announcements are resent, for nodes that
+    /// missed them.
+    pub fn release_notices(&self, now: Millis) -> impl Iterator<Item = ReleaseNotice> {
+        let announcements = self.resent_announcements(now);
+        announcements.filter_map(|announcement| self.releases.notice(&announcement.upstream))
+    }
+}
--- a/crates/core/tests/odd_gossip.rs
+++ b/crates/core/tests/odd_gossip.rs
@@ -126,7 +126,8 @@
                     self.table.observe_proof(now, &proof);
                 }
                 fact @ Fact::Crash { .. } => self.roster.enqueue(fact, Urgency::Urgent),
-                Fact::Rate(_) | Fact::ShareRequest(_) | Fact::ShareGrant(_) => {}
+                Fact::Rate(_) | Fact::ShareRequest(_) | Fact::ShareGrant(_) | Fact::Releases(_) => {
+                }
             }
         }
         match packet.asks {
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -120,7 +120,8 @@
                 | Fact::Proof(_)
                 | Fact::Rate(_)
                 | Fact::ShareRequest(_)
-                | Fact::ShareGrant(_) => {}
+                | Fact::ShareGrant(_)
+                | Fact::Releases(_) => {}
             }
         }
         if packet.asks {
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -25,9 +25,11 @@
 use chestnutnotch_core::upstream::Crash;
 use chestnutnotch_core::upstream::Phase;
 use chestnutnotch_core::upstream::Pick;
+use chestnutnotch_core::upstream::ReleaseNotice;
 use chestnutnotch_core::upstream::announce::MAX_SEQUENCE;
 use chestnutnotch_core::upstream::rate::Reach;
 use chestnutnotch_core::upstream::rate::ShareRequest;
+use chestnutnotch_core::upstream::release::MAX_NOTICES;
 use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
@@ -161,6 +163,26 @@
         change
     }
 
+    /// Applies the software version that an upstream stated to this node, and gossips it if it is new.
+    pub fn announce_release(&self, notice: ReleaseNotice) {
+        if self.observe_releases(&[notice]) {
+            self.inner.wake.notify_one();
+        }
+    }
+
+    /// Applies software versions of upstreams, and queues the new ones for gossip. Returns whether
+    /// there were any.
+    fn observe_releases(&self, notices: &[ReleaseNotice]) -> bool {
+        let upstreams = &self.inner.upstreams;
+        let is_new = |notice: &&ReleaseNotice| upstreams.observe_release(notice);
+        let new: Vec<&ReleaseNotice> = notices.iter().filter(is_new).collect();
+        for notice in &new {
+            let fact = Fact::Releases(vec![(*notice).clone()]);
+            self.roster().enqueue(fact, Urgency::Urgent);
+        }
+        !new.is_empty()
+    }
+
     /// Announces that an upstream leaves, as it stated itself. Does nothing if the upstream is unknown,
     /// or has been restarted since the start `started`.
     pub fn announce_leave(&self, upstream: &Upstream, started: Option<Incarnation>) {
@@ -344,6 +366,9 @@
                         self.roster().enqueue(Fact::Rate(notice), Urgency::Urgent);
                     }
                 }
+                Fact::Releases(notices) => {
+                    self.observe_releases(&notices);
+                }
                 Fact::ShareRequest(request) => self.answer_share(from, &request).await,
                 Fact::ShareGrant(grant) => {
                     self.inner.upstreams.observe_grant(&grant);
@@ -409,9 +434,12 @@
             announcements.map(|announcement| Fact::Upstream(Box::new(announcement)));
         let findings = upstreams.known_findings().into_iter();
         let rates = upstreams.rate_notices().into_iter().map(Fact::Rate);
+        let releases = upstreams.release_notices();
+        let releases = releases.chunks(MAX_NOTICES);
         announcements
             .chain(findings.map(Fact::from))
             .chain(rates)
+            .chain(releases.map(|notices| Fact::Releases(notices.to_vec())))
             .collect()
     }
 
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -14,6 +14,7 @@
 
 use chestnutnotch_core::id::DataCentre;
 use chestnutnotch_core::id::PromptPart;
+use chestnutnotch_core::id::Release;
 use chestnutnotch_core::id::Upstream;
 use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::unit::Millis;
@@ -34,6 +35,7 @@
 use chestnutnotch_core::upstream::Pool;
 use chestnutnotch_core::upstream::Probe;
 use chestnutnotch_core::upstream::Proof;
+use chestnutnotch_core::upstream::ReleaseNotice;
 use chestnutnotch_core::upstream::Table;
 use chestnutnotch_core::upstream::TableConfig;
 use chestnutnotch_core::upstream::UpstreamStatus;
@@ -237,6 +239,31 @@
         self.table().observe_grant(now, grant);
     }
 
+    /// Applies the software version of a start of an upstream. Returns whether it was news.
+    pub fn observe_release(&self, notice: &ReleaseNotice) -> bool {
+        let now = self.timer.now();
+        let is_new = self.table().observe_release(now, notice);
+        if is_new {
+            self.metrics.announcements.add("release");
+            let release = notice.release.as_ref().map_or("", Release::as_str);
+            log::info!(upstream:% = notice.upstream, start = notice.incarnation.0, release; "upstream runs this version");
+        }
+        is_new
+    }
+
+    /// Returns the software version of the start that was chosen for an attempt, if it is known and
+    /// that start is the latest known one.
+    pub fn release(&self, pick: &Pick) -> Option<Release> {
+        let table = self.table();
+        table.release(&pick.upstream, pick.incarnation).cloned()
+    }
+
+    /// See [`Table::release_notices`].
+    pub fn release_notices(&self) -> Vec<ReleaseNotice> {
+        let now = self.timer.now();
+        self.table().release_notices(now).collect()
+    }
+
     /// Logs and counts a change of the rate that an upstream names.
     fn log_rate(&self, notice: &RateNotice, source: &'static str) {
         let (action, label) = match notice.rate {
--- a/crates/fleet/src/dialect.rs
+++ b/crates/fleet/src/dialect.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use chestnutnotch_core::id::PromptPart;
+use chestnutnotch_core::id::Release;
 use chestnutnotch_core::id::Upstream;
 use chestnutnotch_core::id::Workspace;
 use chestnutnotch_core::route::Plan;
@@ -60,7 +61,7 @@
         &self,
         upstream: &Upstream,
         body: &[u8],
-    ) -> Result<Announcement, DocumentError>;
+    ) -> Result<Heartbeat, DocumentError>;
 
     /// Decodes the call by which an upstream leaves. Returns the start time of the upstream as Unix
     /// time in milliseconds, if the call states it.
@@ -111,6 +112,8 @@
     pub prompt: Option<Prompt>,
     /// Number of the last event that the caller received, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream, if it resumes one.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// Size of a prompt, with the parts by which upstreams cache it.
@@ -174,6 +177,15 @@
     Limit(RequestRate),
 }
 
+/// Decoded heartbeat of an upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Heartbeat {
+    /// State of the upstream.
+    pub announcement: Announcement,
+    /// Version of its software; `None` if the heartbeat states none that can be read.
+    pub release: Option<Release>,
+}
+
 /// Operation that a call to a control host requests.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Operation {
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chestnutnotch_core::id::Release;
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::upstream::AttemptOutcome;
 use chestnutnotch_core::upstream::ChoiceError;
@@ -64,6 +65,11 @@
 }
 
 impl AttemptGuard {
+    /// Returns the software version of the upstream for the log; empty if it is not known.
+    pub fn version(&self) -> &str {
+        self.pick.release.as_ref().map_or("", Release::as_str)
+    }
+
     /// Records the outcome of the attempt, and tells other routers what it shows, so that a request
     /// or a prompt part that crashes upstreams is quarantined everywhere.
     pub fn end(mut self, outcome: AttemptOutcome) {
--- a/crates/fleet/src/gateway/front.rs
+++ b/crates/fleet/src/gateway/front.rs
@@ -169,6 +169,15 @@
             Err(error) => return self.refuse(error.into(), Some(&route), "", start),
         };
         let id = metadata.attempt_id.clone();
+        if route.kind.is_stream() && metadata.resume_after.is_some() {
+            self.metrics.caller_resumes.add("asked");
+            log::info!(
+                target: "request",
+                id = &*id, route = &*route.name, after = metadata.resume_after.unwrap_or(0),
+                resumes = metadata.resumes.as_deref().unwrap_or("");
+                "stream taken up"
+            );
+        }
         let received = ReceivedRequest {
             inflight,
             start,
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -13,6 +13,7 @@
 use chestnutnotch_core::route::Prepaid;
 use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::upstream::AnnouncementError;
+use chestnutnotch_core::upstream::ReleaseNotice;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -111,10 +112,19 @@
         match operation {
             Operation::Heartbeat(upstream) => {
                 let body = read_body(body, MAX_ANNOUNCEMENT_BYTES).await?;
-                let announcement = self.dialect.decode_heartbeat(upstream, &body)?;
+                let heartbeat = self.dialect.decode_heartbeat(upstream, &body)?;
+                let announcement = heartbeat.announcement;
                 announcement.check().map_err(DocumentError::from)?;
                 check_start(announcement.incarnation).map_err(DocumentError::from)?;
+                let incarnation = announcement.incarnation;
                 self.nodes.announce(announcement);
+                if let Some(release) = heartbeat.release {
+                    self.nodes.announce_release(ReleaseNotice {
+                        upstream: upstream.clone(),
+                        incarnation,
+                        release: Some(release),
+                    });
+                }
                 Ok(EMPTY_JSON)
             }
             Operation::Leave(upstream) => {
--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -191,7 +191,7 @@
                 StreamEnd::DeadlinePassed => "overdue",
                 StreamEnd::Faulty(fault) => {
                     let upstream = opened.attempt.pick.upstream.clone();
-                    log::info!(target: "upstream", id = &*self.job.metadata.attempt_id, upstream:% = upstream, parts = self.job.log_parts().as_str(), error:% = fault, framing = framing.label(), events = self.event_count; "stream broke off");
+                    log::info!(target: "upstream", id = &*self.job.metadata.attempt_id, upstream:% = upstream, version = opened.attempt.version(), parts = self.job.log_parts().as_str(), error:% = fault, framing = framing.label(), events = self.event_count; "stream broke off");
                     self.job.gateway.metrics.faults.add(fault.label());
                     opened.attempt.end(AttemptOutcome::Broken);
                     self.job.runs += 1;
@@ -302,7 +302,7 @@
                 Ok(AttemptResponse::Stream(opened)) if may_continue(&opened) => {
                     self.rest_count = Some(0);
                     self.job.gateway.metrics.resumes.add("resumed");
-                    log::info!(target: "request", id = &*self.job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream, after = self.last_event.unwrap_or(0); "stream resumed");
+                    log::info!(target: "request", id = &*self.job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream, version = opened.attempt.version(), after = self.last_event.unwrap_or(0); "stream resumed");
                     return Some(*opened);
                 }
                 Ok(AttemptResponse::Stream(opened)) => opened.head.status,
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -52,6 +52,8 @@
     pub tokens: OutcomeCounter,
     /// Resumed streams by outcome.
     pub resumes: OutcomeCounter,
+    /// Streams that callers take up again, by outcome.
+    pub caller_resumes: OutcomeCounter,
     /// Cancels of attempts with an unknown outcome, by result.
     pub cancels: OutcomeCounter,
     /// Admissions by outcome: at once or after a wait, or the reason of load shedding.
@@ -141,6 +143,7 @@
             reservations: OutcomeCounter::default(),
             tokens: OutcomeCounter::default(),
             resumes: OutcomeCounter::default(),
+            caller_resumes: OutcomeCounter::default(),
             cancels: OutcomeCounter::default(),
             admissions: OutcomeCounter::default(),
             claims: OutcomeCounter::default(),
@@ -178,6 +181,11 @@
             ("reservations", "Reservations", &self.reservations),
             ("tokens", "Tokens billed and wasted", &self.tokens),
             ("resumes", "Resumed streams", &self.resumes),
+            (
+                "caller_resumes",
+                "Streams that callers take up again",
+                &self.caller_resumes,
+            ),
             ("cancels", "Cancelled attempts", &self.cancels),
             ("admissions", "Admissions under load", &self.admissions),
             ("claims", "Claims of non-idempotent calls", &self.claims),
