Resume a stream within its answer only at the version that began it

Nothing knew the versions of upstreams.

The criteria of a choice may name a version, and one filter of the candidates applies it on all paths; the choice is checked again after the wait for a connection, and the start again before the first event is passed on. With no upstream of the version left the answer ends as broken, and no retry is taken.

--- a/crates/core/examples/choice_policy/fleet.rs
+++ b/crates/core/examples/choice_policy/fleet.rs
@@ -408,6 +408,7 @@
             body: Fingerprint::of(index.to_le_bytes()),
             parts: Vec::new(),
             avoid,
+            release: None,
         };
         state.table.choose(now, &criteria)
     }
--- a/crates/core/examples/choice_policy/sizes.rs
+++ b/crates/core/examples/choice_policy/sizes.rs
@@ -66,6 +66,7 @@
             body: Fingerprint::of(n.to_le_bytes()),
             parts: Vec::new(),
             avoid: Vec::new(),
+            release: None,
         };
         if let Ok(pick) = table.choose(Millis(20), &criteria) {
             table.end(Millis(20), pick.attempt, AttemptOutcome::Completed);
--- a/crates/core/src/upstream/candidate.rs
+++ b/crates/core/src/upstream/candidate.rs
@@ -5,7 +5,6 @@
 use crate::unit::Millis;
 
 use super::choice::ChoiceContext;
-use super::config::TableConfig;
 use super::rate::RateBook;
 use super::row::Row;
 use super::status::Availability;
@@ -35,10 +34,14 @@
     for row in rows
         .values()
         .filter(|row| row.offers(&context.criteria.kind))
+        .filter(|row| {
+            let releases = context.releases;
+            releases.allows(context.criteria, &row.announcement)
+        })
     {
         candidates.add(row, context);
     }
-    candidates.cap_ejected(context.config);
+    candidates.cap_ejected(context);
     if let Some(rates) = rates {
         candidates.remove_limited(rates, context);
     }
@@ -103,9 +106,13 @@
     }
 
     /// Treats ejected upstreams above the allowed share as stale. A router for which every upstream
-    /// fails is likely cut off itself, and a probe shows which it is.
-    fn cap_ejected(&mut self, config: &TableConfig) {
-        let limit = self.known * config.max_ejected as usize / 1_000;
+    /// fails is likely cut off itself, and a probe shows which it is. A stream that is tied to a
+    /// software version can go nowhere else, so that for it all ejected ones are the last resort.
+    fn cap_ejected(&mut self, context: &ChoiceContext<'_>) {
+        let limit = match context.criteria.release {
+            Some(_) => 0,
+            None => self.known * context.config.max_ejected as usize / 1_000,
+        };
         self.ejected
             .sort_by_key(|(until, row)| (*until, row.revision));
         while self.ejected.len() > limit {
--- a/crates/core/src/upstream/choice.rs
+++ b/crates/core/src/upstream/choice.rs
@@ -13,6 +13,7 @@
 use crate::unit::Millis;
 
 use super::config::TableConfig;
+use super::release::ReleaseBook;
 use super::row::Row;
 use super::table::Criteria;
 
@@ -29,6 +30,8 @@
     pub suspected: bool,
     /// When an announcement of any upstream last arrived.
     pub last_heard: Millis,
+    /// Software versions of the upstreams.
+    pub releases: &'a ReleaseBook,
 }
 
 impl ChoiceContext<'_> {
--- a/crates/core/src/upstream/release.rs
+++ b/crates/core/src/upstream/release.rs
@@ -12,6 +12,10 @@
 use crate::unit::Incarnation;
 use crate::unit::Millis;
 
+use super::announce::Announcement;
+use super::announce::Phase;
+use super::table::Criteria;
+
 /// Longest software version, in bytes, so that notices of many upstreams fit in a packet.
 pub const MAX_RELEASE_BYTES: usize = 64;
 
@@ -92,6 +96,17 @@
         release.filter(|_| known.incarnation == incarnation)
     }
 
+    /// Returns whether a request may go to an upstream by its software version. A request that is tied
+    /// to one goes only where that version is known to run, and not to upstreams that leave: whether
+    /// any other is left then shows whether it can be served at all.
+    pub fn allows(&self, criteria: &Criteria, announcement: &Announcement) -> bool {
+        let Some(wanted) = &criteria.release else {
+            return true;
+        };
+        let known = self.get(&announcement.upstream, announcement.incarnation);
+        known == Some(wanted) && announcement.phase == Phase::Ready
+    }
+
     /// Returns what is known of an upstream, for nodes that missed it.
     pub fn notice(&self, upstream: &Upstream) -> Option<ReleaseNotice> {
         let known = self.known.get(upstream)?;
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -71,6 +71,8 @@
     pub parts: Vec<PromptPart>,
     /// Upstreams that are not chosen, because the request was already tried there.
     pub avoid: Vec<Upstream>,
+    /// Software version at which a stream has to go on. Only upstreams known to run it are chosen.
+    pub release: Option<Release>,
 }
 
 /// A chosen upstream. The attempt counts as in flight until [`Table::end`].
@@ -95,7 +97,8 @@
 /// Why no upstream was chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum ChoiceError {
-    /// No known upstream serves this kind of request.
+    /// No known upstream serves this kind of request, or none runs the software version at which it has
+    /// to go on.
     #[error("no upstream serves this kind of request")]
     NoneKnown,
     /// All upstreams of the kind are leaving, unresponsive, ejected or to be avoided.
@@ -450,6 +453,7 @@
             routers: self.routers,
             suspected,
             last_heard: self.last_heard,
+            releases: &self.releases,
         };
         let usable = match usable(&self.rows, &context, Some(&self.rates)) {
             Err(ChoiceError::RateLimited { .. }) => return Err(self.turn_away(now, criteria)),
--- a/crates/core/src/upstream/table/pauses.rs
+++ b/crates/core/src/upstream/table/pauses.rs
@@ -38,10 +38,14 @@
     }
 
     /// Returns whether a chosen upstream still takes requests of this router: it has neither
-    /// restarted nor announced since that it leaves, nor asked for a pause.
+    /// restarted nor announced since that it leaves, nor asked for a pause, nor stated another software
+    /// version.
     pub fn may_send(&self, now: Millis, pick: &Pick) -> bool {
+        let release = self.release(&pick.upstream, pick.incarnation);
+        let is_same = pick.release.is_none() || pick.release.as_ref() == release;
         self.rows.get(&pick.upstream).is_some_and(|row| {
-            row.announcement.incarnation == pick.incarnation
+            is_same
+                && row.announcement.incarnation == pick.incarnation
                 && row.announcement.phase == Phase::Ready
                 && row.pause.active_until(now).is_none()
         })
--- a/crates/core/src/upstream/table/rates.rs
+++ b/crates/core/src/upstream/table/rates.rs
@@ -73,6 +73,7 @@
             routers: self.routers,
             suspected: false,
             last_heard: self.last_heard,
+            releases: &self.releases,
         };
         let rows = usable(&self.rows, &context, None).ok()?.rows;
         let row = rows[context.choose(&rows, &mut self.rng)?];
@@ -98,6 +99,7 @@
         let offering = self.rows.values().filter(|row| {
             let upstream = &row.announcement.upstream;
             row.offers(&criteria.kind)
+                && self.releases.allows(criteria, &row.announcement)
                 && !criteria.avoid.contains(upstream)
                 && row.announcement.phase == Phase::Ready
                 && row.pause.active_until(now).is_none()
--- a/crates/core/src/upstream/table/releases.rs
+++ b/crates/core/src/upstream/table/releases.rs
@@ -5,6 +5,7 @@
 use crate::unit::Incarnation;
 use crate::unit::Millis;
 
+use super::Criteria;
 use super::Table;
 use crate::upstream::release::ReleaseNotice;
 
@@ -20,6 +21,15 @@
         self.releases.get(upstream, incarnation)
     }
 
+    /// Returns whether an upstream that a request was not tried at might take it, now or later.
+    pub fn has_candidate(&self, criteria: &Criteria) -> bool {
+        self.rows.iter().any(|(upstream, row)| {
+            row.offers(&criteria.kind)
+                && !criteria.avoid.contains(upstream)
+                && self.releases.allows(criteria, &row.announcement)
+        })
+    }
+
     /// Returns the software versions of the upstreams whose announcements are resent, for nodes that
     /// missed them.
     pub fn release_notices(&self, now: Millis) -> impl Iterator<Item = ReleaseNotice> {
--- a/crates/core/tests/odd_announcements.rs
+++ b/crates/core/tests/odd_announcements.rs
@@ -49,6 +49,7 @@
         body: Fingerprint::default(),
         parts: Vec::new(),
         avoid: Vec::new(),
+        release: None,
     }
 }
 
--- a/crates/core/tests/odd_gossip.rs
+++ b/crates/core/tests/odd_gossip.rs
@@ -78,6 +78,7 @@
         body: Fingerprint::default(),
         parts: Vec::new(),
         avoid: Vec::new(),
+        release: None,
     }
 }
 
--- a/crates/core/tests/prompt_parts.rs
+++ b/crates/core/tests/prompt_parts.rs
@@ -63,6 +63,7 @@
         body: Fingerprint::default(),
         parts: parts.iter().copied().map(PromptPart).collect(),
         avoid: Vec::new(),
+        release: None,
     }
 }
 
--- a/crates/core/tests/rate_table.rs
+++ b/crates/core/tests/rate_table.rs
@@ -67,6 +67,7 @@
         body: Fingerprint::default(),
         parts: Vec::new(),
         avoid: avoid.to_vec(),
+        release: None,
     }
 }
 
--- a/crates/core/tests/upstream_pause.rs
+++ b/crates/core/tests/upstream_pause.rs
@@ -113,6 +113,7 @@
         body: Fingerprint::default(),
         parts: Vec::new(),
         avoid: avoid.to_vec(),
+        release: None,
     }
 }
 
--- a/crates/core/tests/upstream_quarantine.rs
+++ b/crates/core/tests/upstream_quarantine.rs
@@ -50,6 +50,7 @@
         body: Fingerprint::of(body),
         parts: Vec::new(),
         avoid: Vec::new(),
+        release: None,
     }
 }
 
--- a/crates/core/tests/upstream_random.rs
+++ b/crates/core/tests/upstream_random.rs
@@ -166,6 +166,7 @@
             body: Fingerprint::of([body]),
             parts: Vec::new(),
             avoid: Vec::new(),
+            release: None,
         };
         let Ok(pick) = self.table.choose(self.now, &criteria) else {
             return true;
--- a/crates/core/tests/upstream_table.rs
+++ b/crates/core/tests/upstream_table.rs
@@ -63,6 +63,7 @@
         body: Fingerprint::of("body"),
         parts: Vec::new(),
         avoid: Vec::new(),
+        release: None,
     }
 }
 
--- a/crates/fleet/benches/control.rs
+++ b/crates/fleet/benches/control.rs
@@ -111,6 +111,7 @@
         body: Fingerprint::of("body"),
         parts: Vec::new(),
         avoid: Vec::new(),
+        release: None,
     };
     for size in UPSTREAMS {
         let mut table = table(size);
--- a/crates/fleet/examples/capacity/router.rs
+++ b/crates/fleet/examples/capacity/router.rs
@@ -56,6 +56,7 @@
                 body: Fingerprint::of(n.to_le_bytes()),
                 parts: Vec::new(),
                 avoid: Vec::new(),
+                release: None,
             };
             let now = Millis(1 + n as u64 / 100);
             if let Ok(pick) = black_box(table.choose(now, &criteria)) {
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -258,6 +258,11 @@
         table.release(&pick.upstream, pick.incarnation).cloned()
     }
 
+    /// See [`Table::has_candidate`].
+    pub fn has_candidate(&self, criteria: &Criteria) -> bool {
+        self.table().has_candidate(criteria)
+    }
+
     /// See [`Table::release_notices`].
     pub fn release_notices(&self) -> Vec<ReleaseNotice> {
         let now = self.timer.now();
--- a/crates/fleet/src/filters/call.rs
+++ b/crates/fleet/src/filters/call.rs
@@ -313,6 +313,7 @@
             body: call.fingerprint,
             parts: Vec::new(),
             avoid: tried.to_vec(),
+            release: None,
         };
         self.pick(&criteria, execution).await
     }
--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -312,6 +312,7 @@
             body: self.chat.body_hash,
             parts: Vec::new(),
             avoid: self.tried.clone(),
+            release: None,
         };
         let pick = match self.chain.pick(&criteria, self.execution).await {
             Ok(pick) => pick,
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -303,6 +303,7 @@
                 let wait = gateway.upstreams.turn_away_paused(id, &kind, until);
                 Refusal::Paused { wait }
             }
+            ChoiceError::NoneKnown if job.release.is_some() => Refusal::VersionGone,
             ChoiceError::Full => Refusal::Full,
             ChoiceError::NoneKnown | ChoiceError::NoneUsable => Refusal::NoUpstream,
         };
@@ -459,7 +460,7 @@
             job.gateway
                 .upstreams
                 .record_answer_start(opened.attempt.pick.attempt);
-            Ok(AttemptResponse::Stream(Box::new(opened)))
+            check_release(job, opened).await
         }
         Ok(Ok(None)) => Ok(AttemptResponse::Stream(Box::new(opened))),
         Ok(Err(fault)) => Err(verdict::on_fault(job, opened.attempt, &fault)),
@@ -467,6 +468,22 @@
     }
 }
 
+/// Ties the request to the software version of the upstream that began its stream. A stream that is
+/// tied to one already goes on only there: the upstream may have started again with another version
+/// since it was chosen.
+async fn check_release(
+    job: &mut Job,
+    opened: OpenResponse,
+) -> Result<AttemptResponse, AttemptFailure> {
+    let served = job.gateway.upstreams.release(&opened.attempt.pick);
+    match &job.release {
+        None => job.release = served,
+        Some(wanted) if served.as_ref() == Some(wanted) => {}
+        Some(_) => return Err(verdict::on_other_release(job, opened.attempt)),
+    }
+    Ok(AttemptResponse::Stream(Box::new(opened)))
+}
+
 impl Job {
     /// Takes one retry from the service's retry budget and returns whether there was one. Free as
     /// long as no attempt has reached an upstream.
--- a/crates/fleet/src/gateway/front.rs
+++ b/crates/fleet/src/gateway/front.rs
@@ -320,6 +320,7 @@
             deadline: start + timeout,
             charge,
             tried: Vec::new(),
+            release: None,
             runs: 0,
             sends: 0,
             paused: 0,
--- a/crates/fleet/src/gateway/job.rs
+++ b/crates/fleet/src/gateway/job.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use chestnutnotch_core::id::Fingerprint;
 use chestnutnotch_core::id::PromptPart;
+use chestnutnotch_core::id::Release;
 use chestnutnotch_core::id::Service;
 use chestnutnotch_core::id::Upstream;
 use chestnutnotch_core::id::Workspace;
@@ -52,6 +53,9 @@
     pub fingerprint: Fingerprint,
     /// Upstreams that were tried, oldest first.
     pub tried: Vec<Upstream>,
+    /// Software version of the upstream that began the stream. From then on the request goes only to
+    /// upstreams of that version. `None` before, and if it is not known.
+    pub release: Option<Release>,
     /// Number of attempts that may have run.
     pub runs: u32,
     /// Number of attempts that were sent to an upstream.
@@ -95,6 +99,7 @@
             body: self.fingerprint,
             parts: self.shared_parts().to_vec(),
             avoid: self.tried.clone(),
+            release: self.release.clone(),
         }
     }
 
@@ -111,6 +116,11 @@
         join_parts(self.shared_parts())
     }
 
+    /// Returns the software version that the request is tied to for the log; empty if there is none.
+    pub fn version(&self) -> &str {
+        self.release.as_ref().map_or("", Release::as_str)
+    }
+
     /// Returns whether the request may run again after an attempt that may have run.
     pub fn may_rerun(&self) -> bool {
         self.route.kind.is_retryable() && self.runs < self.route.max_attempts
--- a/crates/fleet/src/gateway/refusal.rs
+++ b/crates/fleet/src/gateway/refusal.rs
@@ -68,6 +68,15 @@
         /// Time until it may run again.
         wait: Millis,
     },
+    /// The caller takes up a stream, and no upstream of the software version that began it is left.
+    #[error("no upstream runs the software version that began the stream")]
+    VersionGone,
+    /// The caller takes up a stream, and the software version that began it is not known.
+    #[error("the software version that began the stream is not known")]
+    VersionUnknown {
+        /// Time after which a router that knows it may be in reach again, if some were not.
+        wait: Option<Millis>,
+    },
     /// The request was sent and its outcome is unknown.
     #[error("the upstream's answer was lost; the request may have run")]
     AnswerLost,
@@ -100,6 +109,8 @@
             | Self::RateLimited { .. }
             | Self::Paused { .. }
             | Self::Quarantined { .. }
+            | Self::VersionGone
+            | Self::VersionUnknown { .. }
             | Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -121,6 +132,8 @@
             Self::RateLimited { .. } => "rate_limited",
             Self::Paused { .. } => "paused",
             Self::Quarantined { .. } => "quarantined",
+            Self::VersionGone => "version_gone",
+            Self::VersionUnknown { .. } => "version_unknown",
             Self::AnswerLost => "lost",
             Self::AnswerLate => "late",
             Self::DeadlinePassed => "overdue",
@@ -137,6 +150,7 @@
             Self::Quarantined { wait } | Self::RateLimited { wait } | Self::Paused { wait } => {
                 Some(*wait)
             }
+            Self::VersionUnknown { wait } => *wait,
             Self::AllotmentShort | Self::NoUpstream | Self::Full => {
                 let wait = Millis(target.0 / RETRY_AFTER_DIVISOR);
                 Some(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -285,10 +285,30 @@
         self.job.may_rerun() && self.job.time_left() > Millis::ZERO && self.job.take_retry()
     }
 
-    /// Resumes the stream at another upstream, if the route, the deadline and the retry budget
-    /// allow it. Returns `None` if they don't, or if the caller disconnects.
+    /// Returns why no upstream can go on with the stream, whatever the retry budget: it has to run the
+    /// software version that began it.
+    fn find_obstacle(&self) -> Option<&'static str> {
+        let upstreams = &self.job.gateway.upstreams;
+        match self.job.release {
+            None => Some("version_unknown"),
+            Some(_) if !upstreams.has_candidate(&self.job.criteria()) => Some("version_gone"),
+            Some(_) => None,
+        }
+    }
+
+    /// Resumes the stream at another upstream, if the route, the deadline, the versions of the
+    /// upstreams and the retry budget allow it. Returns `None` if they don't, or if the caller
+    /// disconnects.
     async fn resume(&mut self) -> Option<OpenResponse> {
         for _ in 0..MAX_RESUME_ATTEMPTS {
+            if !self.job.may_rerun() {
+                break;
+            }
+            if let Some(obstacle) = self.find_obstacle() {
+                self.job.gateway.metrics.resumes.add(obstacle);
+                log::info!(target: "request", id = &*self.job.metadata.attempt_id, version = self.job.version(), obstacle; "stream not resumed");
+                return None;
+            }
             if !self.may_resume() {
                 break;
             }
--- a/crates/fleet/src/gateway/verdict.rs
+++ b/crates/fleet/src/gateway/verdict.rs
@@ -220,6 +220,16 @@
     AttemptFailure::maybe_ran(Refusal::AnswerLate)
 }
 
+/// Handles an answer that would go on with a stream at another software version than the one that began
+/// it.
+pub(super) fn on_other_release(job: &mut Job, attempt: AttemptGuard) -> AttemptFailure {
+    job.reason = "other_version";
+    let version = attempt.version();
+    log::info!(target: "upstream", id = &*job.metadata.attempt_id, upstream:% = attempt.pick.upstream, version; "upstream started again before its answer");
+    attempt.end(AttemptOutcome::Neutral);
+    AttemptFailure::maybe_ran(Refusal::AnswerLost)
+}
+
 /// Handles an answer by which the upstream states that it did not run the request.
 fn on_refused(job: &mut Job, opened: OpenResponse, tie: Tie) -> AttemptFailure {
     let status = opened.head.status;
