Let callers take up a stream only at the version that began it

The router that begins a resumable stream keeps its version for two minutes, and tells two keepers (rendezvous hash of workspace and attempt id) before it passes on the first event, without a wait. A router that does not know the stream asks up to 16 routers, at most three times 60 ms; only a version that is known lets the request go on, at upstreams known to run it. Otherwise 503 at once, version_unknown or version_gone, without Retry-After unless routers that may know it did not answer. New facts of gossip travel in datagrams that older nodes drop.

--- a/crates/core/src/roster/fact.rs
+++ b/crates/core/src/roster/fact.rs
@@ -15,6 +15,8 @@
 use crate::upstream::Finding;
 use crate::upstream::Proof;
 use crate::upstream::ReleaseNotice;
+use crate::upstream::origin::OriginAnswer;
+use crate::upstream::origin::OriginNotice;
 use crate::upstream::rate::RateNotice;
 use crate::upstream::rate::ShareGrant;
 use crate::upstream::rate::ShareRequest;
@@ -57,6 +59,12 @@
     ShareGrant(Box<ShareGrant>),
     /// Software versions of starts of upstreams.
     Releases(Vec<ReleaseNotice>),
+    /// The beginning of a stream, for its keepers; not passed on.
+    Origin(Box<OriginNotice>),
+    /// A question for the beginning of a stream; not passed on.
+    OriginRequest(Fingerprint),
+    /// The answer to such a question; not passed on.
+    OriginAnswer(Box<OriginAnswer>),
 }
 
 impl From<Finding> for Fact {
@@ -99,7 +107,10 @@
             | Self::Rate(_)
             | Self::ShareRequest(_)
             | Self::ShareGrant(_)
-            | Self::Releases(_) => true,
+            | Self::Releases(_)
+            | Self::Origin(_)
+            | Self::OriginRequest(_)
+            | Self::OriginAnswer(_) => true,
         }
     }
 }
--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -15,6 +15,8 @@
 use super::fact::Role;
 use super::spread::GossipQueue;
 use super::spread::Urgency;
+use crate::id::Fingerprint;
+use crate::id::Host;
 use crate::id::Upstream;
 use crate::map::Map;
 use crate::unit::Millis;
@@ -331,6 +333,24 @@
         owner.map_or(self.own.address, |fact| fact.address)
     }
 
+    /// Returns the gossip addresses of the `count` other live routers that keep the beginning of a
+    /// stream, best first. When a router joins or is lost, only its own streams get other keepers.
+    pub fn origin_keepers(
+        &self,
+        now: Millis,
+        stream: &Fingerprint,
+        count: usize,
+    ) -> Vec<SocketAddr> {
+        let routers = self.live(now).filter(|fact| fact.role == Role::Router);
+        let routers: Map<&Host, SocketAddr> =
+            routers.map(|fact| (&fact.host, fact.address)).collect();
+        let hosts = routers.keys().copied();
+        let keepers = assignment::origin_keepers(hosts, stream, count).into_iter();
+        keepers
+            .filter_map(|host| routers.get(host).copied())
+            .collect()
+    }
+
     /// Returns the gRPC addresses of the other known nodes with a role, live ones first.
     pub fn rpc_addresses(&self, now: Millis, role: Role) -> Vec<SocketAddr> {
         let of_role = self
--- a/crates/core/src/upstream/assignment.rs
+++ b/crates/core/src/upstream/assignment.rs
@@ -3,10 +3,13 @@
 //! Rendezvous hashing assigns each upstream to a few routers of the data centre. When a router
 //! joins or leaves, only the upstreams assigned to that router move.
 
+use std::cmp::Reverse;
 use std::hash::BuildHasher;
+use std::hash::Hash;
 
 use rustc_hash::FxBuildHasher;
 
+use crate::id::Fingerprint;
 use crate::id::Host;
 use crate::id::Upstream;
 
@@ -53,10 +56,22 @@
     hosts.max_by_key(|host| (weight(host, upstream), *host))
 }
 
-/// Rendezvous weight of a router for an upstream. The hash is mixed further, so that names that
+/// Returns the `count` of these routers that keep the beginning of a stream, best first.
+pub fn origin_keepers<'a>(
+    hosts: impl IntoIterator<Item = &'a Host>,
+    stream: &Fingerprint,
+    count: usize,
+) -> Vec<&'a Host> {
+    let mut hosts: Vec<&Host> = hosts.into_iter().collect();
+    hosts.sort_unstable_by_key(|host| Reverse((weight(host, stream), *host)));
+    hosts.truncate(count);
+    hosts
+}
+
+/// Rendezvous weight of a router for an upstream or a stream. The hash is mixed further, so that names that
 /// differ only in their last character get unrelated weights.
-fn weight(host: &Host, upstream: &Upstream) -> u64 {
-    let mut hash = FxBuildHasher.hash_one((host, upstream));
+fn weight(host: &Host, subject: &impl Hash) -> u64 {
+    let mut hash = FxBuildHasher.hash_one((host, subject));
     hash ^= hash >> 33;
     hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
     hash ^= hash >> 33;
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -10,6 +10,7 @@
 mod choice;
 pub mod config;
 pub mod evidence;
+pub mod origin;
 mod part_quarantine;
 mod pause;
 mod pool;
--- a/crates/core/tests/odd_gossip.rs
+++ b/crates/core/tests/odd_gossip.rs
@@ -127,8 +127,13 @@
                     self.table.observe_proof(now, &proof);
                 }
                 fact @ Fact::Crash { .. } => self.roster.enqueue(fact, Urgency::Urgent),
-                Fact::Rate(_) | Fact::ShareRequest(_) | Fact::ShareGrant(_) | Fact::Releases(_) => {
-                }
+                Fact::Rate(_)
+                | Fact::ShareRequest(_)
+                | Fact::ShareGrant(_)
+                | Fact::Releases(_)
+                | Fact::Origin(_)
+                | Fact::OriginRequest(_)
+                | Fact::OriginAnswer(_) => {}
             }
         }
         match packet.asks {
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -121,7 +121,10 @@
                 | Fact::Rate(_)
                 | Fact::ShareRequest(_)
                 | Fact::ShareGrant(_)
-                | Fact::Releases(_) => {}
+                | Fact::Releases(_)
+                | Fact::Origin(_)
+                | Fact::OriginRequest(_)
+                | Fact::OriginAnswer(_) => {}
             }
         }
         if packet.asks {
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -39,6 +39,11 @@
 use crate::edges::gossip::GossipSocket;
 use crate::timer::Timer;
 
+mod origins;
+
+pub use origins::FoundOrigin;
+use origins::Origins;
+
 /// Time between two gossip rounds. An urgent fact reaches a hundred nodes in about five rounds.
 const ROUND_PERIOD: Duration = Duration::from_millis(150);
 
@@ -68,6 +73,8 @@
     changed: Notify,
     /// Notifies those who wait for a share of an upstream's rate.
     granted: Notify,
+    /// Beginnings of streams that this node keeps.
+    origins: Origins,
     timer: Timer,
 }
 
@@ -90,6 +97,7 @@
                 wake: Notify::new(),
                 changed: Notify::new(),
                 granted: Notify::new(),
+                origins: Origins::default(),
                 timer,
             }),
         };
@@ -369,6 +377,9 @@
                 Fact::Releases(notices) => {
                     self.observe_releases(&notices);
                 }
+                Fact::Origin(notice) => self.keep_origin(*notice),
+                Fact::OriginRequest(stream) => self.answer_origin(from, stream).await,
+                Fact::OriginAnswer(answer) => self.observe_origin(from, *answer),
                 Fact::ShareRequest(request) => self.answer_share(from, &request).await,
                 Fact::ShareGrant(grant) => {
                     self.inner.upstreams.observe_grant(&grant);
--- a/crates/fleet/src/dialect.rs
+++ b/crates/fleet/src/dialect.rs
@@ -116,6 +116,13 @@
     pub resumes: Option<Arc<str>>,
 }
 
+impl RequestMetadata {
+    /// Returns whether the caller takes up a stream that began before.
+    pub fn is_resume(&self) -> bool {
+        self.resume_after.is_some() || self.resumes.is_some()
+    }
+}
+
 /// Size of a prompt, with the parts by which upstreams cache it.
 #[derive(Clone, Debug, Default)]
 pub struct Prompt {
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use chestnutnotch_core::id::Release;
+use chestnutnotch_core::route::RequestKind;
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::upstream::AttemptOutcome;
 use chestnutnotch_core::upstream::ChoiceError;
@@ -31,6 +32,7 @@
 use crate::edges::http::pool::PoolKey;
 use crate::gateway::front::Gateway;
 use crate::gateway::front::kind_label;
+use crate::gateway::front::stream_id;
 use crate::gateway::job::Job;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::stream;
@@ -477,13 +479,28 @@
 ) -> Result<AttemptResponse, AttemptFailure> {
     let served = job.gateway.upstreams.release(&opened.attempt.pick);
     match &job.release {
-        None => job.release = served,
+        None => {
+            job.release = served;
+            record_origin(job).await;
+        }
         Some(wanted) if served.as_ref() == Some(wanted) => {}
         Some(_) => return Err(verdict::on_other_release(job, opened.attempt)),
     }
     Ok(AttemptResponse::Stream(Box::new(opened)))
 }
 
+/// Keeps the software version that began the stream, if its caller may take it up again. An attempt
+/// without an id can't be named then.
+async fn record_origin(job: &Job) {
+    if let Some(release) = &job.release
+        && job.route.kind == RequestKind::Resumable
+        && !job.metadata.attempt_id.is_empty()
+    {
+        let stream = stream_id(job.workspace.as_ref(), &job.metadata.attempt_id);
+        job.gateway.nodes.record_origin(stream, release).await;
+    }
+}
+
 impl Job {
     /// Takes one retry from the service's retry budget and returns whether there was one. Free as
     /// long as no attempt has reached an upstream.
--- a/crates/fleet/src/gateway/front.rs
+++ b/crates/fleet/src/gateway/front.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use chestnutnotch_core::id::Budget;
 use chestnutnotch_core::id::Fingerprint;
+use chestnutnotch_core::id::Release;
 use chestnutnotch_core::id::Service;
 use chestnutnotch_core::id::Workspace;
 use chestnutnotch_core::limit::RetryWindow;
@@ -33,6 +34,7 @@
 use crate::controllers::lifecycle::InFlightGuard;
 use crate::controllers::lifecycle::Lifecycle;
 use crate::controllers::lifecycle::Stage;
+use crate::controllers::nodes::FoundOrigin;
 use crate::controllers::nodes::Nodes;
 use crate::controllers::plan::ActiveRoutes;
 use crate::controllers::plan::Routes;
@@ -57,6 +59,10 @@
 /// Longest wait for the body of a request whose caller gives no deadline.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Retry delay for a caller that takes up a stream while routers that may know its version do not
+/// answer. Another router may reach them.
+const UNANSWERED_RETRY_AFTER: Millis = Millis(250);
+
 /// Gateway of a router: everything that serving pass-through requests depends on.
 #[derive(Debug)]
 pub struct Gateway {
@@ -169,15 +175,6 @@
             Err(error) => return self.refuse(error.into(), Some(&route), "", start),
         };
         let id = metadata.attempt_id.clone();
-        if route.kind.is_stream() && metadata.resume_after.is_some() {
-            self.metrics.caller_resumes.add("asked");
-            log::info!(
-                target: "request",
-                id = &*id, route = &*route.name, after = metadata.resume_after.unwrap_or(0),
-                resumes = metadata.resumes.as_deref().unwrap_or("");
-                "stream taken up"
-            );
-        }
         let received = ReceivedRequest {
             inflight,
             start,
@@ -287,6 +284,14 @@
             .map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let body = self.read_body(body, metadata.timeout).await?;
         self.check_stop(route, start + timeout)?;
+        let workspace_name = workspace.map(|spec| spec.name.clone());
+        let release = match route.kind.is_stream() && metadata.is_resume() {
+            true => Some(
+                self.find_release(workspace_name.as_ref(), &metadata)
+                    .await?,
+            ),
+            false => None,
+        };
         let draw = rand::rng().random::<f64>();
         let service = route.pick_service(draw).ok_or(Refusal::NoUpstream)?.clone();
         let budget = workspace.filter(|spec| spec.prepaid.is_some());
@@ -303,7 +308,6 @@
         };
         let stride = routes.index.service(&service).map_or(0, |spec| spec.stride);
         let priority = workspace.and_then(|spec| spec.rank).unwrap_or(route.rank);
-        let workspace_name = workspace.map(|spec| spec.name.clone());
         Ok(Job {
             gateway: Arc::clone(self),
             inflight,
@@ -320,7 +324,7 @@
             deadline: start + timeout,
             charge,
             tried: Vec::new(),
-            release: None,
+            release,
             runs: 0,
             sends: 0,
             paused: 0,
@@ -328,6 +332,40 @@
         })
     }
 
+    /// Finds the software version that began the stream that a caller takes up.
+    async fn find_release(
+        &self,
+        workspace: Option<&Workspace>,
+        metadata: &RequestMetadata,
+    ) -> Result<Release, Refusal> {
+        let start = self.timer.now();
+        let first = metadata.resumes.as_deref().unwrap_or("");
+        let found = match first {
+            "" => FoundOrigin::Unknown,
+            first => self.nodes.find_origin(stream_id(workspace, first)).await,
+        };
+        self.metrics.caller_resumes.add(found.label());
+        let version = match &found {
+            FoundOrigin::Release(release) => release.as_str(),
+            _ => "",
+        };
+        log::info!(
+            target: "request",
+            id = &*metadata.attempt_id, resumes = first, after = metadata.resume_after.unwrap_or(0),
+            version, found = found.label(), ms = self.timer.now().saturating_sub(start).0;
+            "stream taken up"
+        );
+        match found {
+            FoundOrigin::Release(release) => Ok(release),
+            FoundOrigin::Ambiguous | FoundOrigin::Unknown => {
+                Err(Refusal::VersionUnknown { wait: None })
+            }
+            FoundOrigin::Unanswered => Err(Refusal::VersionUnknown {
+                wait: Some(UNANSWERED_RETRY_AFTER),
+            }),
+        }
+    }
+
     async fn read_body(&self, body: Incoming, timeout: Option<Millis>) -> Result<Bytes, Refusal> {
         let timeout = timeout.map_or(BODY_TIMEOUT, |timeout| Duration::from_millis(timeout.0));
         let read = read_bounded(body, self.limits().body_bytes, timeout).await;
@@ -381,6 +419,15 @@
     Ok(known)
 }
 
+/// Identifies the stream that an attempt of a caller begins: by its workspace and the attempt's id.
+pub fn stream_id(workspace: Option<&Workspace>, attempt: &str) -> Fingerprint {
+    let mut hasher = Sha256::new();
+    hasher.update(workspace.map_or("", Workspace::as_str));
+    hasher.update([0]);
+    hasher.update(attempt);
+    truncate(hasher)
+}
+
 /// Hashes the workspace, path and body of a request. Requests with the same fingerprint count as
 /// the same request when upstreams crash.
 fn fingerprint(workspace: Option<&Workspace>, head: &Parts, body: &[u8]) -> Fingerprint {
@@ -390,6 +437,11 @@
     hasher.update(head.uri.path());
     hasher.update([0]);
     hasher.update(body);
+    truncate(hasher)
+}
+
+/// Returns the first bytes of a hash.
+fn truncate(hasher: Sha256) -> Fingerprint {
     let mut fingerprint = Fingerprint::default();
     let size = fingerprint.0.len();
     fingerprint.0.copy_from_slice(&hasher.finalize()[..size]);
