--- a/crates/core/tests/upstream_release.rs
+++ b/crates/core/tests/upstream_release.rs
@@ -9,6 +9,9 @@
 use chestnutnotch_core::id::Release;
 use chestnutnotch_core::id::Service;
 use chestnutnotch_core::id::Upstream;
+use chestnutnotch_core::roster::Fact;
+use chestnutnotch_core::roster::MAX_PACKET_BYTES;
+use chestnutnotch_core::roster::Packet;
 use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::upstream::Announcement;
@@ -23,10 +26,14 @@
 use chestnutnotch_core::upstream::ReleaseNotice;
 use chestnutnotch_core::upstream::Table;
 use chestnutnotch_core::upstream::TableConfig;
+use chestnutnotch_core::upstream::announce::MAX_NAME_BYTES;
 use chestnutnotch_core::upstream::origin::MAX_ORIGINS;
 use chestnutnotch_core::upstream::origin::ORIGIN_TTL;
 use chestnutnotch_core::upstream::origin::Origin;
+use chestnutnotch_core::upstream::origin::OriginAnswer;
 use chestnutnotch_core::upstream::origin::OriginBook;
+use chestnutnotch_core::upstream::origin::OriginNotice;
+use chestnutnotch_core::upstream::release::MAX_NOTICES;
 use chestnutnotch_core::upstream::release::MAX_RELEASE_BYTES;
 
 const V1: Option<&str> = Some("v1");
@@ -253,6 +260,50 @@
     assert_eq!(table.release_notices(Millis(3)).count(), 0);
 }
 
+/// Returns the bytes of a packet with one fact.
+fn packet_size(fact: Fact) -> usize {
+    let packet = Packet {
+        asks: false,
+        facts: vec![fact],
+    };
+    postcard::to_stdvec(&packet).unwrap().len()
+}
+
+fn notices_of(name_bytes: usize, release_bytes: usize) -> Fact {
+    let name = "i".repeat(name_bytes);
+    let release = "v".repeat(release_bytes);
+    let notice = ReleaseNotice {
+        upstream: Upstream::from(name),
+        ..notice(1_800_000_000_000, Some(&release))
+    };
+    Fact::Releases(vec![notice; MAX_NOTICES])
+}
+
+#[test]
+fn notices_of_long_names_fit_in_a_packet() {
+    assert!(packet_size(notices_of(MAX_NAME_BYTES, MAX_RELEASE_BYTES)) <= MAX_PACKET_BYTES);
+}
+
+#[test]
+fn messages_about_a_stream_fit_in_a_small_datagram() {
+    let release = Release::from("v".repeat(MAX_RELEASE_BYTES));
+    let notice = OriginNotice {
+        stream: stream(1),
+        release: release.clone(),
+    };
+    let answer = OriginAnswer {
+        stream: stream(1),
+        origin: Some(Origin::Release(release)),
+    };
+    for fact in [
+        Fact::Origin(Box::new(notice)),
+        Fact::OriginRequest(stream(1)),
+        Fact::OriginAnswer(Box::new(answer)),
+    ] {
+        assert!(packet_size(fact) <= 128);
+    }
+}
+
 fn stream(number: usize) -> Fingerprint {
     let mut stream = Fingerprint::default();
     stream.0[..8].copy_from_slice(&number.to_le_bytes());
