Tie streams to the service that began them, too

Two services may state the same version. Keepers hold the service beside the version; the rest of a stream goes there, or is refused as version_gone if the route no longer leads to it.

--- a/crates/core/src/route/index.rs
+++ b/crates/core/src/route/index.rs
@@ -67,6 +67,12 @@
 }
 
 impl Route {
+    /// Returns whether requests go to this service.
+    pub fn leads_to(&self, service: &Service) -> bool {
+        let mut targets = self.split.iter();
+        targets.any(|target| target.service == *service && target.weight > 0)
+    }
+
     /// Returns the service for a random number, at least 0 and below 1, in proportion to the
     /// weights.
     pub fn pick_service(&self, random: f64) -> Option<&Service> {
--- a/crates/core/src/upstream/origin.rs
+++ b/crates/core/src/upstream/origin.rs
@@ -1,6 +1,6 @@
-//! Which software version began each stream that a caller may take up again.
+//! Which service and software version began each stream that a caller may take up again.
 //!
-//! The router that begins a stream keeps the version, and tells a few keepers, chosen by the stream's
+//! The router that begins a stream keeps them, and tells a few keepers, chosen by the stream's
 //! identifier, before it passes on the first event. A router at which a caller takes the stream up asks
 //! them. What nobody kept is not known.
 
@@ -11,9 +11,11 @@
 
 use crate::id::Fingerprint;
 use crate::id::Release;
+use crate::id::Service;
 use crate::map::Map;
 use crate::unit::Millis;
 
+use super::announce::MAX_NAME_BYTES;
 use super::release;
 
 /// Time for which the version of a stream is kept. A caller gives up a stream long before.
@@ -22,22 +24,38 @@
 /// Most streams whose versions a node keeps; the oldest ones are dropped first.
 pub const MAX_ORIGINS: usize = 65_536;
 
+/// The software of an upstream: versions of two services have nothing in common.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Software {
+    /// Service that the upstream provides.
+    pub service: Service,
+    /// Its version.
+    pub release: Release,
+}
+
+impl Software {
+    fn is_valid(&self) -> bool {
+        let length = self.service.as_str().len();
+        release::is_valid(&self.release) && length <= MAX_NAME_BYTES
+    }
+}
+
 /// What is kept of the beginning of a stream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Origin {
-    /// An upstream of this software version began it.
-    Release(Release),
-    /// Two streams of this identifier began at different versions.
+    /// An upstream with this software began it.
+    Software(Software),
+    /// Two streams of this identifier began at different software.
     Ambiguous,
 }
 
-/// The software version that began a stream, for its keepers.
+/// The software that began a stream, for its keepers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct OriginNotice {
     /// Identifier of the stream.
     pub stream: Fingerprint,
-    /// The version.
-    pub release: Release,
+    /// The software.
+    pub software: Software,
 }
 
 /// What a node knows of the beginning of a stream.
@@ -64,10 +82,10 @@
 }
 
 impl OriginBook {
-    /// Records what is known of the beginning of a stream. A version that no upstream can have stated
-    /// is ignored.
+    /// Records what is known of the beginning of a stream. Names that no upstream can have stated are
+    /// ignored.
     pub fn record(&mut self, now: Millis, stream: Fingerprint, origin: Origin) {
-        if matches!(&origin, Origin::Release(release) if !release::is_valid(release)) {
+        if matches!(&origin, Origin::Software(software) if !software.is_valid()) {
             return;
         }
         self.expire(now);
--- a/crates/core/tests/upstream_release.rs
+++ b/crates/core/tests/upstream_release.rs
@@ -33,6 +33,7 @@
 use chestnutnotch_core::upstream::origin::OriginAnswer;
 use chestnutnotch_core::upstream::origin::OriginBook;
 use chestnutnotch_core::upstream::origin::OriginNotice;
+use chestnutnotch_core::upstream::origin::Software;
 use chestnutnotch_core::upstream::release::MAX_NOTICES;
 use chestnutnotch_core::upstream::release::MAX_RELEASE_BYTES;
 
@@ -286,14 +287,14 @@
 
 #[test]
 fn messages_about_a_stream_fit_in_a_small_datagram() {
-    let release = Release::from("v".repeat(MAX_RELEASE_BYTES));
+    let software = software(&"v".repeat(MAX_RELEASE_BYTES));
     let notice = OriginNotice {
         stream: stream(1),
-        release: release.clone(),
+        software: software.clone(),
     };
     let answer = OriginAnswer {
         stream: stream(1),
-        origin: Some(Origin::Release(release)),
+        origin: Some(Origin::Software(software)),
     };
     for fact in [
         Fact::Origin(Box::new(notice)),
@@ -310,8 +311,15 @@
     stream
 }
 
+fn software(version: &str) -> Software {
+    Software {
+        service: Service::from("s"),
+        release: Release::from(version),
+    }
+}
+
 fn origin(version: &str) -> Origin {
-    Origin::Release(Release::from(version))
+    Origin::Software(software(version))
 }
 
 #[test]
@@ -334,6 +342,18 @@
     assert_eq!(book.get(Millis(5), &stream(1)), Some(&Origin::Ambiguous));
 }
 
+#[test]
+fn repeated_identifier_with_two_services_is_ambiguous() {
+    let mut book = OriginBook::default();
+    book.record(Millis(5), stream(1), origin("v1"));
+    let other = Software {
+        service: Service::from("t"),
+        ..software("v1")
+    };
+    book.record(Millis(5), stream(1), Origin::Software(other));
+    assert_eq!(book.get(Millis(5), &stream(1)), Some(&Origin::Ambiguous));
+}
+
 #[test]
 fn oldest_beginnings_are_dropped_first() {
     let mut book = OriginBook::default();
--- a/crates/fleet/src/controllers/nodes/origins.rs
+++ b/crates/fleet/src/controllers/nodes/origins.rs
@@ -1,4 +1,4 @@
-//! Keeps and finds the software versions that began streams, so that callers can take these up at any
+//! Keeps and finds the software that began streams, so that callers can take these up at any
 //! router.
 
 use std::net::SocketAddr;
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use chestnutnotch_core::id::Fingerprint;
-use chestnutnotch_core::id::Release;
 use chestnutnotch_core::map::Map;
 use chestnutnotch_core::map::Set;
 use chestnutnotch_core::roster::Fact;
@@ -16,6 +15,7 @@
 use chestnutnotch_core::upstream::origin::OriginAnswer;
 use chestnutnotch_core::upstream::origin::OriginBook;
 use chestnutnotch_core::upstream::origin::OriginNotice;
+use chestnutnotch_core::upstream::origin::Software;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -61,9 +61,9 @@
 /// What this router could find out of the beginning of a stream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum FoundOrigin {
-    /// It began at this software version.
-    Release(Release),
-    /// Two streams of this identifier began at different versions.
+    /// It began at this software.
+    Software(Software),
+    /// Two streams of this identifier began at different software.
     Ambiguous,
     /// All routers that may know it answered, and none does.
     Unknown,
@@ -75,7 +75,7 @@
     /// Returns the name of the outcome in logs and metrics.
     pub fn label(&self) -> &'static str {
         match self {
-            Self::Release(_) => "found",
+            Self::Software(_) => "found",
             Self::Ambiguous => "ambiguous",
             Self::Unknown => "unknown",
             Self::Unanswered => "unanswered",
@@ -86,7 +86,7 @@
 impl From<Origin> for FoundOrigin {
     fn from(origin: Origin) -> Self {
         match origin {
-            Origin::Release(release) => Self::Release(release),
+            Origin::Software(software) => Self::Software(software),
             Origin::Ambiguous => Self::Ambiguous,
         }
     }
@@ -133,14 +133,11 @@
 }
 
 impl Nodes {
-    /// Records the software version that began a stream, and tells the keepers of it. Does not wait
-    /// for their answers.
-    pub async fn record_origin(&self, stream: Fingerprint, release: &Release) {
+    /// Records the software that began a stream, and tells the keepers of it. Does not wait for their
+    /// answers.
+    pub async fn record_origin(&self, stream: Fingerprint, software: Software) {
         let now = self.now();
-        let notice = OriginNotice {
-            stream,
-            release: release.clone(),
-        };
+        let notice = OriginNotice { stream, software };
         self.keep_origin(notice.clone());
         let keepers = self.roster().origin_keepers(now, &stream, KEEPERS);
         for keeper in keepers {
@@ -149,7 +146,7 @@
         }
     }
 
-    /// Finds the software version that began a stream: from what this router keeps, or by asking
+    /// Finds the software that began a stream: from what this router keeps, or by asking
     /// others.
     pub async fn find_origin(&self, stream: Fingerprint) -> FoundOrigin {
         if let Some(origin) = self.kept_origin(&stream) {
@@ -202,7 +199,7 @@
     /// Keeps the beginning of a stream.
     pub(super) fn keep_origin(&self, notice: OriginNotice) {
         let now = self.now();
-        let origin = Origin::Release(notice.release);
+        let origin = Origin::Software(notice.software);
         let mut state = self.inner.origins.state();
         state.book.record(now, notice.stream, origin);
     }
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -14,6 +14,7 @@
 use chestnutnotch_core::upstream::ChoiceError;
 use chestnutnotch_core::upstream::Kind;
 use chestnutnotch_core::upstream::Pick;
+use chestnutnotch_core::upstream::origin::Software;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -489,7 +490,7 @@
     Ok(AttemptResponse::Stream(Box::new(opened)))
 }
 
-/// Keeps the software version that began the stream, if its caller may take it up again. An attempt
+/// Keeps the software that began the stream, if its caller may take it up again. An attempt
 /// without an id can't be named then.
 async fn record_origin(job: &Job) {
     if let Some(release) = &job.release
@@ -497,7 +498,11 @@
         && !job.metadata.attempt_id.is_empty()
     {
         let stream = stream_id(job.workspace.as_ref(), &job.metadata.attempt_id);
-        job.gateway.nodes.record_origin(stream, release).await;
+        let software = Software {
+            service: job.service.clone(),
+            release: release.clone(),
+        };
+        job.gateway.nodes.record_origin(stream, software).await;
     }
 }
 
--- a/crates/fleet/src/gateway/front.rs
+++ b/crates/fleet/src/gateway/front.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use chestnutnotch_core::id::Budget;
 use chestnutnotch_core::id::Fingerprint;
-use chestnutnotch_core::id::Release;
 use chestnutnotch_core::id::Service;
 use chestnutnotch_core::id::Workspace;
 use chestnutnotch_core::limit::RetryWindow;
@@ -21,6 +20,7 @@
 use chestnutnotch_core::route::Route;
 use chestnutnotch_core::route::WorkspaceSpec;
 use chestnutnotch_core::unit::Millis;
+use chestnutnotch_core::upstream::origin::Software;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -285,15 +285,18 @@
         let body = self.read_body(body, metadata.timeout).await?;
         self.check_stop(route, start + timeout)?;
         let workspace_name = workspace.map(|spec| spec.name.clone());
-        let release = match route.kind.is_stream() && metadata.is_resume() {
-            true => Some(
-                self.find_release(workspace_name.as_ref(), &metadata)
-                    .await?,
-            ),
-            false => None,
+        let (service, release) = match route.kind.is_stream() && metadata.is_resume() {
+            true => {
+                let workspace = workspace_name.as_ref();
+                let software = self.find_software(route, workspace, &metadata).await?;
+                (software.service, Some(software.release))
+            }
+            false => {
+                let draw = rand::rng().random::<f64>();
+                let service = route.pick_service(draw).ok_or(Refusal::NoUpstream)?;
+                (service.clone(), None)
+            }
         };
-        let draw = rand::rng().random::<f64>();
-        let service = route.pick_service(draw).ok_or(Refusal::NoUpstream)?.clone();
         let budget = workspace.filter(|spec| spec.prepaid.is_some());
         let charge = match (budget, &metadata.prompt) {
             (Some(spec), Some(prompt)) => {
@@ -332,12 +335,14 @@
         })
     }
 
-    /// Finds the software version that began the stream that a caller takes up.
-    async fn find_release(
+    /// Finds the software that began the stream that a caller takes up. The route has to lead to its
+    /// service still.
+    async fn find_software(
         &self,
+        route: &Route,
         workspace: Option<&Workspace>,
         metadata: &RequestMetadata,
-    ) -> Result<Release, Refusal> {
+    ) -> Result<Software, Refusal> {
         let start = self.timer.now();
         let first = metadata.resumes.as_deref().unwrap_or("");
         let found = match first {
@@ -346,7 +351,7 @@
         };
         self.metrics.caller_resumes.add(found.label());
         let version = match &found {
-            FoundOrigin::Release(release) => release.as_str(),
+            FoundOrigin::Software(software) => software.release.as_str(),
             _ => "",
         };
         log::info!(
@@ -356,7 +361,8 @@
             "stream taken up"
         );
         match found {
-            FoundOrigin::Release(release) => Ok(release),
+            FoundOrigin::Software(software) if route.leads_to(&software.service) => Ok(software),
+            FoundOrigin::Software(_) => Err(Refusal::VersionGone),
             FoundOrigin::Ambiguous | FoundOrigin::Unknown => {
                 Err(Refusal::VersionUnknown { wait: None })
             }
