Keep a leave for the start that left, also if that start is not known yet

Cause: `Nodes::announce_leave` marked the start that the control host happened to know as leaving, even if the call named a later one, and dropped the leave of an upstream that it did not know. A heartbeat of the start that had left, held up on its way, then superseded the leave, as its start was higher.

Why it works: a leave is now kept by itself, with the starts to which it belongs (`Attribution`), and gossiped as a fact of its own. Whatever arrives of these starts later, at any node, is a late heartbeat.

--- a/crates/core/src/roster/fact.rs
+++ b/crates/core/src/roster/fact.rs
@@ -13,6 +13,7 @@
 use crate::upstream::Announcement;
 use crate::upstream::Evidence;
 use crate::upstream::Finding;
+use crate::upstream::LeaveNotice;
 use crate::upstream::Proof;
 use crate::upstream::ReleaseNotice;
 use crate::upstream::origin::OriginAnswer;
@@ -65,6 +66,8 @@
     OriginRequest(Fingerprint),
     /// The answer to such a question; not passed on.
     OriginAnswer(Box<OriginAnswer>),
+    /// Leaves of upstreams.
+    Leaves(Vec<LeaveNotice>),
 }
 
 impl From<Finding> for Fact {
@@ -94,6 +97,10 @@
                 let one = one.iter().map(|notice| &notice.upstream);
                 one.eq(other.iter().map(|notice| &notice.upstream))
             }
+            (Self::Leaves(one), Self::Leaves(other)) => {
+                let one = one.iter().map(|notice| &notice.upstream);
+                one.eq(other.iter().map(|notice| &notice.upstream))
+            }
             _ => false,
         }
     }
@@ -110,7 +117,8 @@
             | Self::Releases(_)
             | Self::Origin(_)
             | Self::OriginRequest(_)
-            | Self::OriginAnswer(_) => true,
+            | Self::OriginAnswer(_)
+            | Self::Leaves(_) => true,
         }
     }
 }
--- a/crates/core/src/upstream/announce.rs
+++ b/crates/core/src/upstream/announce.rs
@@ -100,8 +100,7 @@
     ///
     /// See [`AnnouncementError`].
     pub fn check(&self) -> Result<(), AnnouncementError> {
-        let id = self.upstream.as_str();
-        if !has_name_length(id) || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+        if !is_upstream_name(&self.upstream) {
             return Err(AnnouncementError::Upstream);
         }
         check_name("the data centre", self.centre.as_str())?;
@@ -129,6 +128,12 @@
     address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
 }
 
+/// Returns whether an upstream can have this name, which is sent in a header.
+pub(super) fn is_upstream_name(upstream: &Upstream) -> bool {
+    let id = upstream.as_str();
+    has_name_length(id) && id.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 fn has_name_length(name: &str) -> bool {
     (1..=MAX_NAME_BYTES).contains(&name.len())
 }
--- a/crates/core/src/upstream/row.rs
+++ b/crates/core/src/upstream/row.rs
@@ -19,6 +19,8 @@
 pub(super) struct Row {
     /// Announcement of the greatest version received.
     pub announcement: Announcement,
+    /// Until when the upstream is not used, as it may have left.
+    pub held_until: Option<Millis>,
     /// When `announcement` or the last answer to a probe was received.
     pub heard_at: Millis,
     /// Whether a second announcement or a probe has confirmed the incarnation. Until then, its
@@ -68,6 +70,7 @@
     pub fn new(now: Millis, announcement: Announcement, config: &TableConfig) -> Self {
         let mut row = Self {
             announcement,
+            held_until: None,
             heard_at: now,
             confirmed: false,
             unanswered_since: None,
@@ -171,6 +174,12 @@
         self.breaker.record_success(now);
     }
 
+    /// Returns whether the upstream has left, or may have.
+    pub fn is_leaving(&self, now: Millis) -> bool {
+        self.announcement.phase == Phase::Leaving
+            || self.held_until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether the upstream serves this kind of request.
     pub fn offers(&self, kind: &Kind) -> bool {
         match (&self.announcement.offer, kind) {
@@ -230,7 +239,7 @@
             true => last_heard,
             false => now,
         };
-        if self.announcement.phase == Phase::Leaving {
+        if self.is_leaving(now) {
             return Availability::Leaving;
         }
         if let Some(until) = self.pause.active_until(now) {
@@ -277,7 +286,7 @@
         let interval_over = self.last_probe.is_none_or(|at| now >= at + interval);
         let closed = self.breaker.state(now) == State::Closed;
         let uncertain = self.unresponsive || self.is_stale(now, config) || !closed;
-        interval_over && uncertain && self.announcement.phase == Phase::Ready
+        interval_over && uncertain && !self.is_leaving(now)
     }
 
     /// Records that a probe is sent now.
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -28,6 +28,7 @@
 use super::evidence::Proof;
 use super::evidence::Stage;
 use super::evidence::Subject;
+use super::leave::LeaveBook;
 use super::part_quarantine::PartQuarantine;
 use super::part_quarantine::QuarantineChange;
 use super::pool;
@@ -41,6 +42,7 @@
 use super::status::Probe;
 use super::status::UpstreamStatus;
 
+mod leaves;
 mod pauses;
 mod rates;
 mod releases;
@@ -178,6 +180,8 @@
     rates: RateBook,
     /// Software versions of upstreams.
     releases: ReleaseBook,
+    /// Leaves of upstreams.
+    leaves: LeaveBook,
     /// Assignment of upstreams to the routers of this data centre.
     assignment: Assignment,
     /// Number of routers that send requests to the same upstreams; 0 if not known.
@@ -287,6 +291,7 @@
             parts: PartQuarantine::new(config.evidence_ttl, seed),
             rates: RateBook::default(),
             releases: ReleaseBook::default(),
+            leaves: LeaveBook::default(),
             assignment: Assignment::default(),
             routers: 0,
             revision: 0,
@@ -316,6 +321,7 @@
             .get(&upstream)
             .map(|row| row.announcement.incarnation);
         let address = announcement.address;
+        let announcement = self.apply_leave(now, announcement);
         if !self.store(now, announcement) {
             return false;
         }
@@ -324,6 +330,7 @@
         self.revision += 1;
         if let Some(row) = self.rows.get_mut(&upstream) {
             row.revision = self.revision;
+            row.held_until = self.leaves.held_until(now, &upstream, incarnation);
         }
         // An upstream whose address is in use again has ended, so its heartbeat is a late one.
         let row = self.rows.get(&upstream);
@@ -379,6 +386,12 @@
         }
     }
 
+    /// Returns how long ago an attempt began that has not ended; zero if it has.
+    pub fn attempt_age(&self, now: Millis, attempt: AttemptId) -> Millis {
+        let active = self.active.get(&attempt);
+        active.map_or(Millis::ZERO, |active| now.saturating_sub(active.sent_at))
+    }
+
     /// Records that the head of a successful answer to an attempt has arrived.
     pub fn record_answer_head(&mut self, now: Millis, attempt: AttemptId) {
         let Some(active) = self.active.get_mut(&attempt) else {
@@ -807,6 +820,7 @@
             .retain(|_, row| now < row.heard_at + forget || row.in_flight > 0);
         self.quarantine.expire(now, self.config.evidence_ttl);
         self.parts.expire(now);
+        self.leaves.expire(now);
         let rows = &self.rows;
         self.rates.retain(|upstream| rows.contains_key(upstream));
         let oldest = now.saturating_sub(forget);
--- a/crates/core/src/upstream/table/pauses.rs
+++ b/crates/core/src/upstream/table/pauses.rs
@@ -8,7 +8,6 @@
 use super::Pick;
 use super::Table;
 use crate::upstream::announce::Kind;
-use crate::upstream::announce::Phase;
 use crate::upstream::choice::random_index;
 use crate::upstream::status::Availability;
 
@@ -46,7 +45,7 @@
         self.rows.get(&pick.upstream).is_some_and(|row| {
             is_same
                 && row.announcement.incarnation == pick.incarnation
-                && row.announcement.phase == Phase::Ready
+                && !row.is_leaving(now)
                 && row.pause.active_until(now).is_none()
         })
     }
--- a/crates/core/src/upstream/table/rates.rs
+++ b/crates/core/src/upstream/table/rates.rs
@@ -13,7 +13,6 @@
 use super::Criteria;
 use super::Table;
 use super::usable;
-use crate::upstream::announce::Phase;
 use crate::upstream::choice::random_index;
 use crate::upstream::rate::KnownRate;
 use crate::upstream::rate::RateNotice;
@@ -101,7 +100,7 @@
             row.offers(&criteria.kind)
                 && self.releases.allows(criteria, &row.announcement)
                 && !criteria.avoid.contains(upstream)
-                && row.announcement.phase == Phase::Ready
+                && !row.is_leaving(now)
                 && row.pause.active_until(now).is_none()
         });
         let starts: Vec<(Upstream, Incarnation)> = offering
--- a/crates/core/tests/odd_gossip.rs
+++ b/crates/core/tests/odd_gossip.rs
@@ -133,7 +133,8 @@
                 | Fact::Releases(_)
                 | Fact::Origin(_)
                 | Fact::OriginRequest(_)
-                | Fact::OriginAnswer(_) => {}
+                | Fact::OriginAnswer(_)
+                | Fact::Leaves(_) => {}
             }
         }
         match packet.asks {
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -124,7 +124,8 @@
                 | Fact::Releases(_)
                 | Fact::Origin(_)
                 | Fact::OriginRequest(_)
-                | Fact::OriginAnswer(_) => {}
+                | Fact::OriginAnswer(_)
+                | Fact::Leaves(_) => {}
             }
         }
         if packet.asks {
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -20,13 +20,17 @@
 use chestnutnotch_core::roster::RosterSettings;
 use chestnutnotch_core::roster::Urgency;
 use chestnutnotch_core::unit::Incarnation;
+use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::unit::RequestRate;
 use chestnutnotch_core::upstream::Announcement;
+use chestnutnotch_core::upstream::Attribution;
 use chestnutnotch_core::upstream::Crash;
+use chestnutnotch_core::upstream::LeaveNotice;
 use chestnutnotch_core::upstream::Phase;
 use chestnutnotch_core::upstream::Pick;
 use chestnutnotch_core::upstream::ReleaseNotice;
 use chestnutnotch_core::upstream::announce::MAX_SEQUENCE;
+use chestnutnotch_core::upstream::leave::MAX_LEAVES;
 use chestnutnotch_core::upstream::rate::Reach;
 use chestnutnotch_core::upstream::rate::ShareRequest;
 use chestnutnotch_core::upstream::release::MAX_NOTICES;
@@ -191,21 +195,60 @@
         !new.is_empty()
     }
 
-    /// Announces that an upstream leaves, as it stated itself. Does nothing if the upstream is unknown,
-    /// or has been restarted since the start `started`.
-    pub fn announce_leave(&self, upstream: &Upstream, started: Option<Incarnation>) {
-        let Some(known) = self.inner.upstreams.announcement(upstream) else {
-            log::info!(upstream:% = upstream; "leave of an unknown upstream ignored");
-            return;
+    /// Announces that an upstream leaves, as it stated in a call: the start `stated` and all before
+    /// it, or all starts until now if it stated none.
+    pub fn announce_leave(&self, upstream: &Upstream, stated: Option<Incarnation>) {
+        let known = self.inner.upstreams.incarnation(upstream);
+        log::info!(
+            upstream:% = upstream, stated:? = stated.map(|start| start.0),
+            known:? = known.map(|start| start.0);
+            "leave call acknowledged"
+        );
+        let starts = match stated {
+            Some(start) => Attribution::stated(start),
+            None => Attribution::heard_at(self.inner.timer.unix(), known),
         };
-        if started.is_some_and(|started| started < known.incarnation) {
-            return;
+        self.apply_leave(upstream, starts);
+    }
+
+    /// Announces that the upstream of an attempt leaves, as it stated in its answer.
+    pub fn announce_leave_by_answer(&self, pick: &Pick) {
+        let starts = self.inner.upstreams.attribute_answer(pick);
+        self.apply_leave(&pick.upstream, starts);
+    }
+
+    /// Announces that these starts of an upstream have left.
+    fn apply_leave(&self, upstream: &Upstream, starts: Attribution) {
+        let known = self.inner.upstreams.announcement(upstream);
+        // Nodes of earlier versions know leaves by the announcement alone.
+        if let Some(known) = known.filter(|known| known.incarnation <= starts.known) {
+            self.announce(Announcement {
+                phase: Phase::Leaving,
+                seq: known.seq.saturating_add(1).min(MAX_SEQUENCE),
+                ..known
+            });
+        }
+        let notice = LeaveNotice {
+            upstream: upstream.clone(),
+            starts,
+            age: Millis::ZERO,
+        };
+        if self.observe_leaves(&[notice]) {
+            self.inner.wake.notify_one();
         }
-        self.announce(Announcement {
-            phase: Phase::Leaving,
-            seq: known.seq.saturating_add(1).min(MAX_SEQUENCE),
-            ..known
-        });
+    }
+
+    /// Applies leaves of upstreams, and queues the new ones for gossip. Returns whether there were
+    /// any.
+    fn observe_leaves(&self, notices: &[LeaveNotice]) -> bool {
+        let upstreams = &self.inner.upstreams;
+        let is_new = |notice: &&LeaveNotice| upstreams.observe_leave(notice);
+        let new: Vec<&LeaveNotice> = notices.iter().filter(is_new).collect();
+        for notice in &new {
+            let fact = Fact::Leaves(vec![(*notice).clone()]);
+            self.roster().enqueue(fact, Urgency::Urgent);
+        }
+        !new.is_empty()
     }
 
     /// Gossips the crash evidence that this node found since the last call: requests that broke off
@@ -304,6 +347,7 @@
 
     /// Applies an announcement, and queues it for gossip if it is new.
     fn observe(&self, announcement: Announcement) -> AnnouncementChange {
+        let announcement = self.inner.upstreams.apply_leave(announcement);
         let change = self.inner.upstreams.observe(announcement.clone());
         match change {
             AnnouncementChange::Stale => {}
@@ -377,6 +421,9 @@
                 Fact::Releases(notices) => {
                     self.observe_releases(&notices);
                 }
+                Fact::Leaves(notices) => {
+                    self.observe_leaves(&notices);
+                }
                 Fact::Origin(notice) => self.keep_origin(*notice),
                 Fact::OriginRequest(stream) => self.answer_origin(from, stream).await,
                 Fact::OriginAnswer(answer) => self.observe_origin(from, *answer),
@@ -447,10 +494,13 @@
         let rates = upstreams.rate_notices().into_iter().map(Fact::Rate);
         let releases = upstreams.release_notices();
         let releases = releases.chunks(MAX_NOTICES);
+        let leaves = upstreams.leave_notices();
+        let leaves = leaves.chunks(MAX_LEAVES);
         announcements
             .chain(findings.map(Fact::from))
             .chain(rates)
             .chain(releases.map(|notices| Fact::Releases(notices.to_vec())))
+            .chain(leaves.map(|notices| Fact::Leaves(notices.to_vec())))
             .collect()
     }
 
@@ -472,7 +522,7 @@
         *before = now;
     }
 
-    fn now(&self) -> chestnutnotch_core::unit::Millis {
+    fn now(&self) -> Millis {
         self.inner.timer.now()
     }
 
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -22,12 +22,14 @@
 use chestnutnotch_core::upstream::Announcement;
 use chestnutnotch_core::upstream::AttemptId;
 use chestnutnotch_core::upstream::AttemptOutcome;
+use chestnutnotch_core::upstream::Attribution;
 use chestnutnotch_core::upstream::ChoiceError;
 use chestnutnotch_core::upstream::Crash;
 use chestnutnotch_core::upstream::Criteria;
 use chestnutnotch_core::upstream::Evidence;
 use chestnutnotch_core::upstream::Finding;
 use chestnutnotch_core::upstream::Kind;
+use chestnutnotch_core::upstream::LeaveNotice;
 use chestnutnotch_core::upstream::LimitedUpstream;
 use chestnutnotch_core::upstream::Load;
 use chestnutnotch_core::upstream::Phase;
@@ -161,6 +163,50 @@
         change
     }
 
+    /// Returns an announcement with the phase that it has by the known leaves.
+    pub fn apply_leave(&self, announcement: Announcement) -> Announcement {
+        let now = self.timer.now();
+        let phase = announcement.phase;
+        let announcement = self.table().apply_leave(now, announcement);
+        if announcement.phase != phase {
+            self.metrics.announcements.add("after_leave");
+            log::debug!(
+                upstream:% = announcement.upstream, start = announcement.incarnation.0;
+                "heartbeat of a start that has left"
+            );
+        }
+        announcement
+    }
+
+    /// Returns the starts that can have given the answer to an attempt: a start that is not known yet
+    /// may have been there when the request was sent.
+    pub fn attribute_answer(&self, pick: &Pick) -> Attribution {
+        let age = self.table().attempt_age(self.timer.now(), pick.attempt);
+        let sent = self.timer.unix().saturating_sub(age);
+        Attribution::heard_at(sent, Some(pick.incarnation))
+    }
+
+    /// Applies a leave. Returns whether it was news.
+    pub fn observe_leave(&self, notice: &LeaveNotice) -> bool {
+        let now = self.timer.now();
+        let is_new = self.table().observe_leave(now, notice);
+        if is_new {
+            self.metrics.announcements.add("leave");
+            log::info!(
+                upstream:% = notice.upstream, start = notice.starts.known.0,
+                latest = notice.starts.latest.0, age = notice.age.0;
+                "upstream has left"
+            );
+        }
+        is_new
+    }
+
+    /// See [`Table::leave_notices`].
+    pub fn leave_notices(&self) -> Vec<LeaveNotice> {
+        let now = self.timer.now();
+        self.table().leave_notices(now).collect()
+    }
+
     /// Applies the load that an upstream reported with an answer.
     pub fn update_load(&self, pick: &Pick, load: Load) {
         let now = self.timer.now();
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -130,6 +130,9 @@
             Operation::Leave(upstream) => {
                 let body = read_body(body, MAX_ANNOUNCEMENT_BYTES).await?;
                 let started = self.dialect.decode_leave(&body).map(Incarnation);
+                if let Some(started) = started {
+                    check_start(started).map_err(DocumentError::from)?;
+                }
                 self.nodes.announce_leave(upstream, started);
                 Ok(EMPTY_JSON)
             }
--- a/crates/fleet/src/gateway/verdict.rs
+++ b/crates/fleet/src/gateway/verdict.rs
@@ -89,7 +89,7 @@
         job.gateway.metrics.announcements.add("leaving_by_answer");
         log::info!(target: "upstream", id = &*job.metadata.attempt_id, upstream:% = pick.upstream, start = pick.incarnation.0; "upstream leaves by its answer");
         let nodes = &job.gateway.nodes;
-        nodes.announce_leave(&pick.upstream, Some(pick.incarnation));
+        nodes.announce_leave_by_answer(pick);
     }
     let pause = RequestedPause::read(opened.head.status, &opened.head.headers);
     let upstreams = &job.gateway.upstreams;
