Cut off an answer whose framing goes on without a part of its body

Cause: the HTTP library bounds heads, chunk extensions and trailers, but neither the digits of a chunk's size nor the blanks after it, and reads them in one go while there are any. Neither memory nor the bound on a body's bytes noticed: no part of a body ever arrived. Ruled out: endless extensions, trailers, heads and interim answers, which were cut off before (tests).

Why it works: each read over a connection to an upstream is counted, by both clients, and the count starts anew with each head and each part of a body.

--- a/crates/fleet/src/edges/http/answer.rs
+++ b/crates/fleet/src/edges/http/answer.rs
@@ -20,6 +20,7 @@
 use crate::edges::http::Framing;
 use crate::edges::http::events::EventSplitter;
 use crate::edges::http::events::EventTooLong;
+use crate::edges::http::progress::Progress;
 
 /// Longest body, in bytes. Upstreams may send bytes without end.
 const MAX_BODY_BYTES: usize = 64 << 20;
@@ -45,6 +46,9 @@
     /// The body is larger than this bound, in bytes.
     #[error("the body is larger than {0} bytes")]
     TooLarge(usize),
+    /// More than this number of bytes arrived without a part of the body.
+    #[error("more than {0} bytes arrived without a part of the body")]
+    NoContent(usize),
     /// The body did not arrive within this time.
     #[error("the body did not arrive within {0:?}")]
     TimedOut(Duration),
@@ -59,6 +63,7 @@
             Self::NoEvent => "no_event",
             Self::EventTooLong(_) => "event_too_long",
             Self::TooLarge(_) => "too_large",
+            Self::NoContent(_) => "no_content",
             Self::TimedOut(_) => "timed_out",
         }
     }
@@ -81,6 +86,8 @@
     content: Content,
     /// Number of bytes that arrived.
     received: usize,
+    /// What was read over the connection since a part of the body arrived.
+    progress: Progress,
     /// Whether [`AnswerBody::next`] has returned bytes: of a stream, a whole event.
     has_event: bool,
 }
@@ -107,6 +114,7 @@
             incoming,
             content,
             received: 0,
+            progress: head.extensions.get().cloned().unwrap_or_default(),
             has_event: false,
         }
     }
@@ -129,9 +137,14 @@
     /// See [`AnswerFault`]. The body must not be read further.
     pub async fn next(&mut self) -> Result<Option<Bytes>, AnswerFault> {
         while let Some(frame) = self.incoming.frame().await {
-            let Ok(data) = frame?.into_data() else {
+            let frame = frame.map_err(|error| match self.progress.limit_exceeded() {
+                Some(most) => AnswerFault::NoContent(most),
+                None => error.into(),
+            })?;
+            let Ok(data) = frame.into_data() else {
                 continue;
             };
+            self.progress.record();
             self.received += data.len();
             if self.received > MAX_BODY_BYTES {
                 return Err(AnswerFault::TooLarge(MAX_BODY_BYTES));
--- a/crates/fleet/src/edges/http/counted.rs
+++ b/crates/fleet/src/edges/http/counted.rs
@@ -25,10 +25,11 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tower_service::Service;
 
 use crate::edges::http::not_run::Tie;
+use crate::edges::http::progress::Progress;
+use crate::edges::http::shared::SharedStream;
 
 /// Header with the id of a request. Upstreams may repeat it in the answer.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -53,9 +54,13 @@
     fn call(&mut self, uri: Uri) -> Self::Future {
         let connecting = self.0.call(uri);
         Box::pin(async move {
+            let progress = Progress::default();
+            let stream = connecting.await?.into_inner();
+            let (stream, _probe) = SharedStream::new(stream, progress.clone());
             Ok(CountedStream {
-                stream: connecting.await?,
+                stream: TokioIo::new(stream),
                 count: AnswerCount::default(),
+                progress,
             })
         })
     }
@@ -64,13 +69,16 @@
 /// A TCP connection that counts its answers.
 #[derive(Debug)]
 pub struct CountedStream {
-    stream: TokioIo<TcpStream>,
+    stream: TokioIo<SharedStream>,
     count: AnswerCount,
+    progress: Progress,
 }
 
 impl Connection for CountedStream {
     fn connected(&self) -> Connected {
-        self.stream.connected().extra(self.count.clone())
+        Connected::new()
+            .extra(self.count.clone())
+            .extra(self.progress.clone())
     }
 }
 
@@ -132,6 +140,9 @@
 
     /// Counts the answer and notes its connection in its extensions.
     pub(super) fn complete<B>(mut self, response: &mut Response<B>) {
+        if let Some(progress) = response.extensions().get::<Progress>() {
+            progress.record();
+        }
         let count = response.extensions().get::<AnswerCount>().cloned();
         if let (Some(count), Some(connection)) = (count, self.connection.take()) {
             let origin = Origin {
--- a/crates/fleet/src/edges/http/mod.rs
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -6,7 +6,7 @@
 //! which it decides whether they are complete. All of them bound bytes and time. [`not_run`] is the
 //! evidence that an upstream did not run a request, and [`pause`] the time for which it wants none. [`framing`] tells how the end of a body is
 //! marked, and [`events`] splits a body of server-sent events. [`shared`] lets [`pool`] look at a
-//! connection before it is used again.
+//! connection before it is used again, and [`progress`] bounds what is read without a part of an answer.
 
 pub mod answer;
 pub mod body;
@@ -19,6 +19,7 @@
 pub mod not_run;
 pub mod pause;
 pub mod pool;
+mod progress;
 pub mod read;
 pub mod server;
 pub mod shared;
--- a/crates/fleet/src/edges/http/pool.rs
+++ b/crates/fleet/src/edges/http/pool.rs
@@ -29,6 +29,7 @@
 use tokio::time::Instant;
 
 use crate::edges::http::interim::limit_interim;
+use crate::edges::http::progress::Progress;
 use crate::edges::http::shared::SharedStream;
 use crate::edges::http::shared::StreamProbe;
 use crate::edges::http::socket;
@@ -88,6 +89,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     probe: StreamProbe,
+    progress: Progress,
     key: PoolKey,
     /// Number of requests that were answered over this connection.
     pub exchanges: u32,
@@ -215,10 +217,13 @@
             () = too_many => return Err(ExchangeError::NoAnswer),
             sent = self.sender.try_send_request(request) => sent,
         };
-        sent.map_err(|mut error| match error.take_message() {
+        let mut response = sent.map_err(|mut error| match error.take_message() {
             Some(_) => ExchangeError::Closed,
             None => ExchangeError::Broken(error.into_error()),
-        })
+        })?;
+        self.progress.record();
+        response.extensions_mut().insert(self.progress.clone());
+        Ok(response)
     }
 }
 
@@ -231,7 +236,8 @@
         Err(_) => return Err(unreachable(std::io::ErrorKind::TimedOut.into())),
     };
     socket::set_options(&stream);
-    let (stream, probe) = SharedStream::new(stream);
+    let progress = Progress::default();
+    let (stream, probe) = SharedStream::new(stream, progress.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -245,6 +251,7 @@
     Ok(Connection {
         sender,
         probe,
+        progress,
         key,
         exchanges: 0,
         has_ids: false,
--- a/crates/fleet/src/edges/http/shared.rs
+++ b/crates/fleet/src/edges/http/shared.rs
@@ -17,20 +17,25 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-/// A TCP stream with a [`StreamProbe`].
+use crate::edges::http::progress::Progress;
+
+/// A TCP stream with a [`StreamProbe`], of which each read is counted.
 #[derive(Debug)]
-pub struct SharedStream(Arc<TcpStream>);
+pub struct SharedStream {
+    stream: Arc<TcpStream>,
+    progress: Progress,
+}
 
 /// Examines a [`SharedStream`] without keeping it open.
 #[derive(Clone, Debug)]
 pub struct StreamProbe(Weak<TcpStream>);
 
 impl SharedStream {
-    /// Wraps a stream.
-    pub fn new(stream: TcpStream) -> (Self, StreamProbe) {
+    /// Wraps a stream. `progress` bounds what is read.
+    pub(super) fn new(stream: TcpStream, progress: Progress) -> (Self, StreamProbe) {
         let stream = Arc::new(stream);
         let probe = StreamProbe(Arc::downgrade(&stream));
-        (Self(stream), probe)
+        (Self { stream, progress }, probe)
     }
 }
 
@@ -54,10 +59,11 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(context))?;
-            match self.0.try_read_buf(buffer) {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read_buf(buffer) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result.map(drop)),
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok(bytes) => return Poll::Ready(self.progress.count(bytes)),
             }
         }
     }
@@ -78,8 +84,8 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(context))?;
-            match self.0.try_write_vectored(slices) {
+            ready!(self.stream.poll_write_ready(context))?;
+            match self.stream.try_write_vectored(slices) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => return Poll::Ready(result),
             }
@@ -95,6 +101,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
