Bound the memory that the bodies of all answers take together

Cause: each answer is bounded (1 MiB held before it is passed on, 16 parts queued for a caller, 64 MiB in all), their sum was not.

Why it works: bodies count against a quarter of the memory that the settings allow until their last copy is dropped. An answer for which there is no room is passed on as it arrives in place of being held whole, and a caller gets the next part of it once it has taken all parts before. So nobody is refused: callers of sound upstreams that read are served, slow ones hold one part each.

--- a/crates/fleet/src/edges/http/answer.rs
+++ b/crates/fleet/src/edges/http/answer.rs
@@ -20,6 +20,7 @@
 use crate::edges::http::Framing;
 use crate::edges::http::events::EventSplitter;
 use crate::edges::http::events::EventTooLong;
+use crate::edges::http::memory::AnswerMemory;
 use crate::edges::http::progress::Progress;
 
 /// Longest body, in bytes. Upstreams may send bytes without end.
@@ -192,6 +193,41 @@
         Ok((all.freeze(), false))
     }
 
+    /// Like [`AnswerBody::read_up_to`], but reads no further either once `memory` has no room. The
+    /// bytes count there until they are dropped, but for the last part if it had no room.
+    ///
+    /// # Errors
+    ///
+    /// See [`AnswerFault`].
+    pub async fn read_within(
+        &mut self,
+        max_bytes: usize,
+        memory: &AnswerMemory,
+    ) -> Result<(Bytes, bool), AnswerFault> {
+        let mut all = BytesMut::new();
+        let mut taken = memory.try_take(0);
+        let mut is_complete = false;
+        while all.len() <= max_bytes {
+            let Some(data) = self.next().await? else {
+                is_complete = true;
+                break;
+            };
+            all.extend_from_slice(&data);
+            // A buffer that grows takes up to twice its length.
+            let more = memory.try_take(2 * data.len());
+            let (Some(taken), Some(more)) = (&mut taken, more) else {
+                break;
+            };
+            taken.merge(more);
+        }
+        let all = all.freeze();
+        let all = match taken {
+            Some(share) => share.hold(all),
+            None => all,
+        };
+        Ok((all, is_complete))
+    }
+
     /// Reads and discards the rest of the body, in bounded bytes and within `timeout`. Returns
     /// whether the body is complete, so that its connection can be reused.
     pub async fn drain(mut self, timeout: Duration) -> bool {
--- a/crates/fleet/src/edges/http/mod.rs
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -5,7 +5,7 @@
 //! responses, [`read`] reads the bodies of requests and [`answer`] those of upstreams' answers, of
 //! which it decides whether they are complete. All of them bound bytes and time. [`not_run`] is the
 //! evidence that an upstream did not run a request, and [`pause`] the time for which it wants none. [`framing`] tells how the end of a body is
-//! marked, and [`events`] splits a body of server-sent events. [`shared`] lets [`pool`] look at a
+//! marked, [`memory`] bounds what the bodies of all answers take, and [`events`] splits a body of server-sent events. [`shared`] lets [`pool`] look at a
 //! connection before it is used again, and [`progress`] bounds what is read without a part of an answer.
 
 pub mod answer;
@@ -16,6 +16,7 @@
 pub mod events;
 pub mod framing;
 pub mod interim;
+pub mod memory;
 pub mod not_run;
 pub mod pause;
 pub mod pool;
@@ -33,6 +34,7 @@
 pub use client::HttpClient;
 pub use client::SendError;
 pub use framing::Framing;
+pub use memory::AnswerMemory;
 pub use not_run::NotRun;
 pub use not_run::Tie;
 pub use pause::RequestedPause;
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -409,19 +409,25 @@
 }
 
 /// Buffers a whole answer before any of it is forwarded, so that a broken one can be retried or
-/// reported as an error. Answers larger than [`MAX_BUFFERED_BYTES`] are returned as streams.
+/// reported as an error. Answers larger than [`MAX_BUFFERED_BYTES`], or than there is memory for, are
+/// returned as streams.
 async fn read_whole(
     job: &mut Job,
     mut opened: OpenResponse,
     deadline: Instant,
 ) -> Result<AttemptResponse, AttemptFailure> {
-    let reading = opened.body.read_up_to(MAX_BUFFERED_BYTES);
+    let memory = job.gateway.memory.clone();
+    let reading = opened.body.read_within(MAX_BUFFERED_BYTES, &memory);
     let (buffer, is_complete) = match timeout_at(deadline, reading).await {
         Ok(Ok(read)) => read,
         Ok(Err(fault)) => return Err(verdict::on_fault(job, opened.attempt, &fault)),
         Err(_) => return Err(verdict::on_timeout(job, opened.attempt)),
     };
     if !is_complete {
+        if buffer.len() <= MAX_BUFFERED_BYTES {
+            job.gateway.metrics.answer_memory.add("not_held");
+            log::info!(target: "upstream", id = &*job.metadata.attempt_id, upstream:% = opened.attempt.pick.upstream, bytes = buffer.len(); "no memory to hold the whole answer");
+        }
         opened.received = buffer;
         return Ok(AttemptResponse::Stream(Box::new(opened)));
     }
--- a/crates/fleet/src/gateway/front.rs
+++ b/crates/fleet/src/gateway/front.rs
@@ -41,6 +41,7 @@
 use crate::controllers::upstreams::Upstreams;
 use crate::dialect::Dialect;
 use crate::dialect::RequestMetadata;
+use crate::edges::http::AnswerMemory;
 use crate::edges::http::NotRun;
 use crate::edges::http::ReadError;
 use crate::edges::http::ReplyBody;
@@ -78,6 +79,8 @@
     pub upstreams: Upstreams,
     /// Idle connections to upstreams.
     pub pool: Pool,
+    /// Memory for the bodies of answers.
+    pub memory: AnswerMemory,
     /// Membership of the nodes, by gossip.
     pub nodes: Nodes,
     /// Retry budget of each service.
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -41,6 +41,7 @@
 use crate::dialect::Dialect;
 use crate::edges::gossip::GossipError;
 use crate::edges::gossip::GossipSocket;
+use crate::edges::http::AnswerMemory;
 use crate::edges::http::HttpClient;
 use crate::edges::http::pool::Pool;
 use crate::edges::http::server;
@@ -98,6 +99,10 @@
 /// Part of the grace time reserved for sending the last answers.
 const ANSWER_MARGIN: Millis = Millis(200);
 
+/// Part of the memory of the process that the bodies of answers may take. The rest is for buffers of
+/// the connections, and for all else.
+const ANSWER_MEMORY_DIVISOR: usize = 4;
+
 /// Time without a heartbeat after which an upstream counts as lost, while heartbeats of others
 /// still arrive. It spans several heartbeats, so that a single late one does no harm.
 const STALE_AFTER: Millis = Millis(5_000);
@@ -300,6 +305,7 @@
         allotments: AllotmentHandle::new(base.nodes.clone(), timer.clone(), Arc::clone(&metrics)),
         upstreams: base.upstreams,
         pool: Pool::default(),
+        memory: AnswerMemory::new(settings.memory / ANSWER_MEMORY_DIVISOR),
         nodes: base.nodes,
         retry_budgets: RetryBudgets::new(rules),
         route_times: RouteTimes::default(),
--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -82,6 +82,9 @@
     }
 }
 
+/// The caller has disconnected.
+struct CallerGone;
+
 /// How forwarding a stream ended.
 enum StreamEnd {
     Whole,
@@ -226,10 +229,9 @@
                 };
             }
             if !part.is_empty() {
-                let sending = self.tx.send(Part::Data(part));
-                match timeout_at(deadline, sending).await {
+                match timeout_at(deadline, self.send(part)).await {
                     Ok(Ok(())) => {}
-                    Ok(Err(_)) => return StreamEnd::CallerGone,
+                    Ok(Err(CallerGone)) => return StreamEnd::CallerGone,
                     Err(_) => return StreamEnd::DeadlinePassed,
                 }
             }
@@ -239,7 +241,7 @@
                 next = timeout_at(deadline, opened.body.next()) => next,
             };
             part = match next {
-                Ok(Ok(Some(part))) => part,
+                Ok(Ok(Some(next))) => next,
                 Ok(Ok(None)) if self.rest_count == Some(0) => {
                     return StreamEnd::Faulty(StreamFault::NoRest);
                 }
@@ -250,6 +252,24 @@
         }
     }
 
+    /// Queues a part for the caller. If there is no memory for it, it waits until the caller has
+    /// taken all parts before, so that a slow caller holds one part.
+    async fn send(&self, part: Bytes) -> Result<(), CallerGone> {
+        let gateway = &self.job.gateway;
+        match gateway.memory.try_hold(part) {
+            Ok(held) => self.tx.send(Part::Data(held)).await.map_err(|_| CallerGone),
+            Err(part) => {
+                gateway.metrics.answer_memory.add("not_queued");
+                let reserved = self.tx.reserve_many(MAX_QUEUED_CHUNKS).await;
+                let mut reserved = reserved.map_err(|_| CallerGone)?;
+                if let Some(permit) = reserved.next() {
+                    permit.send(Part::Data(part));
+                }
+                Ok(())
+            }
+        }
+    }
+
     /// Checks that the events have consecutive numbers, then counts and charges them. Returns those
     /// to forward: from the answer to a resume, nothing before its first event.
     fn check_events(&mut self, part: Bytes) -> Result<Bytes, StreamFault> {
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -79,6 +79,8 @@
     pub connections: OutcomeCounter,
     /// Answers of upstreams to pass-through requests by what marks the end of the body.
     pub framings: OutcomeCounter,
+    /// Answers, or parts of them, that no memory was left to hold.
+    pub answer_memory: OutcomeCounter,
     /// Attempts that did not run, by the evidence.
     pub not_run: OutcomeCounter,
     /// Answers by whether they repeat the id of the request: its own, another one, or none.
@@ -156,6 +158,7 @@
             revision: Gauge::default(),
             connections: OutcomeCounter::default(),
             framings: OutcomeCounter::default(),
+            answer_memory: OutcomeCounter::default(),
             answer_ids: OutcomeCounter::default(),
             not_run: OutcomeCounter::default(),
             faults: OutcomeCounter::default(),
@@ -195,6 +198,11 @@
             ("spreads", "Messages between routers", &self.spreads),
             ("connections", "Connections to upstreams", &self.connections),
             ("answer_framings", "Answers by framing", &self.framings),
+            (
+                "answer_memory",
+                "Answers that no memory was left to hold",
+                &self.answer_memory,
+            ),
             (
                 "attempts_not_run",
                 "Attempts that did not run by the evidence",
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -134,6 +134,16 @@
     pub linger: u64,
     /// Time from the signal to stop to the end of the process, in milliseconds.
     pub grace: u64,
+    /// Memory that the process may use, in bytes.
+    #[serde(default = "memory")]
+    pub memory: usize,
+}
+
+/// Memory that a process may use if its settings name none, in bytes.
+pub const DEFAULT_MEMORY_BYTES: usize = 256 << 20;
+
+fn memory() -> usize {
+    DEFAULT_MEMORY_BYTES
 }
 
 /// A retry budget: in any window, retries are limited to a share of the first attempts plus a fixed
