Use an upstream again whose address a stray heartbeat named

Cause: `Table::take_over` made all other upstreams at the address of the latest start leave, which is final.

Why it works: such an upstream is displaced and no longer leaves; it is used again once it is heard of for longer than a heartbeat can be late. A service that the routes in force do not name displaces nobody.

--- a/crates/core/src/upstream/row.rs
+++ b/crates/core/src/upstream/row.rs
@@ -19,6 +19,8 @@
 pub(super) struct Row {
     /// Announcement of the greatest version received.
     pub announcement: Announcement,
+    /// Whether a later start has taken over its address.
+    pub displaced: bool,
     /// Until when the upstream is not used, as it may have left.
     pub held_until: Option<Millis>,
     /// When `announcement` or the last answer to a probe was received.
@@ -70,6 +72,7 @@
     pub fn new(now: Millis, announcement: Announcement, config: &TableConfig) -> Self {
         let mut row = Self {
             announcement,
+            displaced: false,
             held_until: None,
             heard_at: now,
             confirmed: false,
@@ -124,6 +127,7 @@
     /// Resets what belongs to the previous incarnation.
     fn reset(&mut self) {
         self.confirmed = false;
+        self.displaced = false;
         self.unresponsive = false;
         self.probe_requested = false;
         self.in_flight = 0;
@@ -177,6 +181,7 @@
     /// Returns whether the upstream has left, or may have.
     pub fn is_leaving(&self, now: Millis) -> bool {
         self.announcement.phase == Phase::Leaving
+            || self.displaced
             || self.held_until.is_some_and(|until| now < until)
     }
 
--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -10,8 +10,10 @@
 use crate::id::Host;
 use crate::id::PromptPart;
 use crate::id::Release;
+use crate::id::Service;
 use crate::id::Upstream;
 use crate::map::Map;
+use crate::map::Set;
 use crate::unit::Incarnation;
 use crate::unit::Millis;
 
@@ -42,6 +44,7 @@
 use super::status::Probe;
 use super::status::UpstreamStatus;
 
+mod addresses;
 mod leaves;
 mod pauses;
 mod rates;
@@ -182,6 +185,8 @@
     releases: ReleaseBook,
     /// Leaves of upstreams.
     leaves: LeaveBook,
+    /// Services that the routes name; `None` if not known.
+    services: Option<Set<Service>>,
     /// Assignment of upstreams to the routers of this data centre.
     assignment: Assignment,
     /// Number of routers that send requests to the same upstreams; 0 if not known.
@@ -292,6 +297,7 @@
             rates: RateBook::default(),
             releases: ReleaseBook::default(),
             leaves: LeaveBook::default(),
+            services: None,
             assignment: Assignment::default(),
             routers: 0,
             revision: 0,
@@ -334,7 +340,7 @@
         }
         // An upstream whose address is in use again has ended, so its heartbeat is a late one.
         let row = self.rows.get(&upstream);
-        let is_ready = row.is_some_and(|row| row.announcement.phase == Phase::Ready);
+        let is_ready = row.is_some_and(|row| !row.is_leaving(now));
         if self.config.heartbeat_only && known == Some(incarnation) && is_ready {
             let sent = now.saturating_sub(HEARTBEAT_LAG);
             self.quarantine.refute(&upstream, incarnation, sent);
@@ -349,27 +355,6 @@
         true
     }
 
-    /// With `heartbeat_only`, marks all upstreams at an address as leaving but the one that started
-    /// last: the others have ended, since the address is in use again.
-    fn take_over(&mut self, address: SocketAddr) {
-        if !self.config.heartbeat_only {
-            return;
-        }
-        let is_here = |row: &&mut Row| row.announcement.address == address;
-        let latest = self
-            .rows
-            .values()
-            .filter(|row| row.announcement.address == address);
-        let Some(latest) = latest.map(|row| row.announcement.incarnation).max() else {
-            return;
-        };
-        for row in self.rows.values_mut().filter(is_here) {
-            if row.announcement.incarnation < latest {
-                row.announcement.phase = Phase::Leaving;
-            }
-        }
-    }
-
     /// Applies the load that an upstream reported with an answer.
     pub fn update_load(
         &mut self,
@@ -757,6 +742,7 @@
             && self.rows.get(upstream).is_some_and(|row| {
                 row.announcement.incarnation == incarnation
                     && row.announcement.phase == Phase::Ready
+                    && !row.displaced
                     && row.heard_at >= at + HEARTBEAT_LAG
             })
     }
--- a/crates/core/tests/upstream_leave.rs
+++ b/crates/core/tests/upstream_leave.rs
@@ -192,6 +192,71 @@
     assert!(is_used(&table, end));
 }
 
+/// Returns a heartbeat of another upstream, `w1`, at the same address.
+fn successor(start: u64, seq: u64, service: &str) -> Announcement {
+    Announcement {
+        upstream: Upstream::from("w1"),
+        seq,
+        offer: Offer::Service(Service::from(service)),
+        ..announcement(start, Phase::Ready)
+    }
+}
+
+/// Returns a heartbeat of `w0` with this sequence number.
+fn later(seq: u64) -> Announcement {
+    Announcement {
+        seq,
+        ..announcement(100, Phase::Ready)
+    }
+}
+
+#[test]
+fn later_start_takes_over_the_address() {
+    let mut table = empty_table();
+    table.observe(NOW, announcement(100, Phase::Ready));
+    table.observe(NOW, successor(200, 1, "t"));
+    assert!(!is_used(&table, NOW));
+    // A heartbeat that was on its way.
+    let late = NOW + Millis(5_000);
+    table.observe(late, later(8));
+    assert!(!is_used(&table, late));
+}
+
+#[test]
+fn upstream_that_is_heard_on_at_its_address_is_used_again() {
+    let mut table = empty_table();
+    table.observe(NOW, announcement(100, Phase::Ready));
+    table.observe(NOW, successor(200, 1, "t"));
+    let end = NOW + HOLD_TIME;
+    table.observe(end, later(8));
+    assert!(is_used(&table, end));
+}
+
+#[test]
+fn upstream_is_not_used_while_its_successor_is_heard() {
+    let mut table = empty_table();
+    table.observe(NOW, announcement(100, Phase::Ready));
+    for seq in 1..20 {
+        table.observe(NOW + Millis(1_200 * seq), successor(200, seq, "t"));
+    }
+    let end = NOW + Millis(1_200 * 19);
+    table.observe(end, later(8));
+    assert!(!is_used(&table, end));
+}
+
+#[test]
+fn service_that_no_route_names_takes_over_nothing() {
+    let mut table = empty_table();
+    table.set_services([Service::from("s")]);
+    table.observe(NOW, announcement(100, Phase::Ready));
+    table.observe(NOW, successor(200, 1, "t"));
+    assert!(is_used(&table, NOW));
+    // The routes name it now.
+    table.set_services([Service::from("s"), Service::from("t")]);
+    table.observe(NOW, successor(200, 2, "t"));
+    assert!(!is_used(&table, NOW));
+}
+
 #[test]
 fn start_that_may_have_left_shows_as_leaving() {
     let table = held();
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use chestnutnotch_core::id::DataCentre;
+use chestnutnotch_core::id::Service;
 use chestnutnotch_core::id::Upstream;
 use chestnutnotch_core::map::Set;
 use chestnutnotch_core::roster::Fact;
@@ -154,6 +155,11 @@
         self.inner.changed.notified().await;
     }
 
+    /// Sets the services that the routes in force name.
+    pub fn set_services(&self, services: impl IntoIterator<Item = Service>) {
+        self.inner.upstreams.set_services(services);
+    }
+
     /// Announces the version of the routes that this node has.
     pub fn set_plan_version(&self, plan: u64) {
         self.roster().update_own(|own| own.plan = plan);
--- a/crates/fleet/src/controllers/plan.rs
+++ b/crates/fleet/src/controllers/plan.rs
@@ -249,6 +249,8 @@
         };
         let version = held.version;
         let routes = plan.routes.len();
+        let services = plan.services.iter().map(|spec| spec.name.clone());
+        self.parts.nodes.set_services(services);
         let active = ActiveRoutes::new(plan, self.parts.timer.now());
         self.tx.send_replace(Some(Arc::new(active)));
         self.publish.send_replace(held);
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -15,6 +15,7 @@
 use chestnutnotch_core::id::DataCentre;
 use chestnutnotch_core::id::PromptPart;
 use chestnutnotch_core::id::Release;
+use chestnutnotch_core::id::Service;
 use chestnutnotch_core::id::Upstream;
 use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::unit::Millis;
@@ -186,6 +187,11 @@
         Attribution::heard_at(sent, Some(pick.incarnation))
     }
 
+    /// Sets the services that the routes in force name.
+    pub fn set_services(&self, services: impl IntoIterator<Item = Service>) {
+        self.table().set_services(services);
+    }
+
     /// Applies a leave. Returns whether it was news.
     pub fn observe_leave(&self, notice: &LeaveNotice) -> bool {
         let now = self.timer.now();
