Gossip a leave that answers state once a second

An upstream that leaves states it in each of its answers. Since a leave that names no start counts for all starts until its statement, each such answer was news, and was gossiped at once as an urgent fact. Found by reading; a restated leave is passed over for a second now, which changes nothing for the start that was chosen.

--- a/crates/core/src/upstream/leave.rs
+++ b/crates/core/src/upstream/leave.rs
@@ -93,8 +93,14 @@
 
     /// Returns whether this start has left for certain.
     pub fn has_left(&self, now: Millis, upstream: &Upstream, start: Incarnation) -> bool {
+        self.age(now, upstream, start).is_some()
+    }
+
+    /// Returns the time since this start left, if it is known to have left for certain.
+    pub fn age(&self, now: Millis, upstream: &Upstream, start: Incarnation) -> Option<Millis> {
         let leave = self.active(now, upstream);
-        leave.is_some_and(|leave| start <= leave.starts.known)
+        let leave = leave.filter(|leave| start <= leave.starts.known)?;
+        Some(leave.age(now))
     }
 
     /// Returns until when this start is not used, as it may have left.
--- a/crates/core/src/upstream/table/leaves.rs
+++ b/crates/core/src/upstream/table/leaves.rs
@@ -1,5 +1,7 @@
 //! Leaves of the upstreams in the table.
 
+use crate::id::Upstream;
+use crate::unit::Incarnation;
 use crate::unit::Millis;
 
 use super::Table;
@@ -27,6 +29,16 @@
         true
     }
 
+    /// Returns the time since the last statement by which this start has left, if there was one.
+    pub fn leave_age(
+        &self,
+        now: Millis,
+        upstream: &Upstream,
+        start: Incarnation,
+    ) -> Option<Millis> {
+        self.leaves.age(now, upstream, start)
+    }
+
     /// Returns an announcement with the phase that it has by the known leaves: one of a start that
     /// has left is a late one.
     pub fn apply_leave(&self, now: Millis, mut announcement: Announcement) -> Announcement {
--- a/crates/core/tests/upstream_leave.rs
+++ b/crates/core/tests/upstream_leave.rs
@@ -283,6 +283,20 @@
     assert_eq!(table.leave_notices(NOW + LEAVE_TTL).count(), 0);
 }
 
+#[test]
+fn age_is_that_of_the_last_statement() {
+    let mut table = empty_table();
+    let upstream = Upstream::from("w0");
+    let age = |table: &Table, now| table.leave_age(now, &upstream, Incarnation(100));
+    assert_eq!(age(&table, NOW), None);
+    apply(&mut table, NOW, Unnamed(300, 100));
+    let later = NOW + Millis(2_000);
+    assert_eq!(age(&table, later), Some(Millis(2_000)));
+    apply(&mut table, later, Unnamed(2_300, 100));
+    assert_eq!(age(&table, later), Some(Millis::ZERO));
+    assert_eq!(table.leave_age(later, &upstream, Incarnation(101)), None);
+}
+
 #[test]
 fn node_that_just_started_does_not_hold_for_longer() {
     let mut table = empty_table();
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -56,6 +56,9 @@
 /// part of the time that a caller has.
 const SHARE_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Time in which one leave that answers of an upstream state stands for all.
+const RESTATE_PERIOD: Millis = Millis(1_000);
+
 /// Pause after a socket error, so that a lasting failure does not cause a busy loop.
 const SOCKET_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -217,8 +220,13 @@
         self.apply_leave(upstream, starts);
     }
 
-    /// Announces that the upstream of an attempt leaves, as it stated in its answer.
+    /// Announces that the upstream of an attempt leaves, as it stated in its answer. An upstream that
+    /// leaves states it in each of its answers, so that most of them are passed over.
     pub fn announce_leave_by_answer(&self, pick: &Pick) {
+        let age = self.inner.upstreams.leave_age(pick);
+        if age.is_some_and(|age| age < RESTATE_PERIOD) {
+            return;
+        }
         let starts = self.inner.upstreams.attribute_answer(pick);
         self.apply_leave(&pick.upstream, starts);
     }
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -192,6 +192,13 @@
         self.table().set_services(services);
     }
 
+    /// Returns the time since the chosen start of an upstream left, if it did.
+    pub fn leave_age(&self, pick: &Pick) -> Option<Millis> {
+        let now = self.timer.now();
+        self.table()
+            .leave_age(now, &pick.upstream, pick.incarnation)
+    }
+
     /// Applies a leave. Returns whether it was news.
     pub fn observe_leave(&self, notice: &LeaveNotice) -> bool {
         let now = self.timer.now();
