--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -143,6 +143,11 @@
         self.queue.push(fact, urgency);
     }
 
+    /// Queues news that this node was told by its subject, so that it answers for telling the others.
+    pub fn announce(&mut self, fact: Fact) {
+        self.queue.push(fact, Urgency::Urgent);
+    }
+
     /// Merges the state of another node if it is newer. Returns whether the node is new, restarted,
     /// started or stopped leaving, or has newer routes. Ignores a generation that no node can have.
     pub fn merge(&mut self, now: Millis, fact: NodeFact) -> bool {
