Log where a node heard of a leave

upstream leaving and upstream has left did not say whether the upstream itself or another host had told it, and a heartbeat that states a leave had no line at the host that took it.

--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -62,6 +62,25 @@
 /// Pause after a socket error, so that a lasting failure does not cause a busy loop.
 const SOCKET_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Where this node heard something about an upstream.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    /// In a call or an answer of the upstream itself.
+    Upstream,
+    /// From another node.
+    Gossip,
+}
+
+impl Source {
+    /// Returns the word for logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Upstream => "upstream",
+            Self::Gossip => "gossip",
+        }
+    }
+}
+
 /// A handle on the gossip membership. Cheap to clone; clones share the roster.
 #[derive(Clone, Debug)]
 pub struct Nodes {
@@ -177,7 +196,15 @@
 
     /// Applies an announcement that an upstream sent to this node, and gossips it if it is new.
     pub fn announce(&self, announcement: Announcement) -> AnnouncementChange {
-        let change = self.observe(announcement);
+        if announcement.phase == Phase::Leaving {
+            let known = self.inner.upstreams.incarnation(&announcement.upstream);
+            log::debug!(
+                upstream:% = announcement.upstream, start = announcement.incarnation.0,
+                known:? = known.map(|start| start.0), seq = announcement.seq;
+                "heartbeat of a leaving upstream acknowledged"
+            );
+        }
+        let change = self.observe(announcement, Source::Upstream);
         if change == AnnouncementChange::Availability {
             self.inner.wake.notify_one();
         }
@@ -247,16 +274,16 @@
             starts,
             age: Millis::ZERO,
         };
-        if self.observe_leaves(&[notice]) {
+        if self.observe_leaves(&[notice], Source::Upstream) {
             self.inner.wake.notify_one();
         }
     }
 
     /// Applies leaves of upstreams, and queues the new ones for gossip. Returns whether there were
     /// any.
-    fn observe_leaves(&self, notices: &[LeaveNotice]) -> bool {
+    fn observe_leaves(&self, notices: &[LeaveNotice], source: Source) -> bool {
         let upstreams = &self.inner.upstreams;
-        let is_new = |notice: &&LeaveNotice| upstreams.observe_leave(notice);
+        let is_new = |notice: &&LeaveNotice| upstreams.observe_leave(notice, source.name());
         let new: Vec<&LeaveNotice> = notices.iter().filter(is_new).collect();
         for notice in &new {
             let fact = Fact::Leaves(vec![(*notice).clone()]);
@@ -360,7 +387,7 @@
     }
 
     /// Applies an announcement, and queues it for gossip if it is new.
-    fn observe(&self, announcement: Announcement) -> AnnouncementChange {
+    fn observe(&self, announcement: Announcement, source: Source) -> AnnouncementChange {
         let announcement = self.inner.upstreams.apply_leave(announcement);
         let change = self.inner.upstreams.observe(announcement.clone());
         match change {
@@ -370,7 +397,7 @@
                 self.roster().enqueue(fact, Urgency::Refresh);
             }
             AnnouncementChange::Availability => {
-                log_phase(&announcement);
+                log_phase(&announcement, source);
                 let fact = Fact::Upstream(Box::new(announcement));
                 self.roster().enqueue(fact, Urgency::Urgent);
             }
@@ -403,7 +430,7 @@
             match fact {
                 Fact::Node(node) => changed |= self.roster().merge(now, node),
                 Fact::Upstream(announcement) => {
-                    self.observe(*announcement);
+                    self.observe(*announcement, Source::Gossip);
                 }
                 Fact::Crash {
                     body,
@@ -436,7 +463,7 @@
                     self.observe_releases(&notices);
                 }
                 Fact::Leaves(notices) => {
-                    self.observe_leaves(&notices);
+                    self.observe_leaves(&notices, Source::Gossip);
                 }
                 Fact::Origin(notice) => self.keep_origin(*notice),
                 Fact::OriginRequest(stream) => self.answer_origin(from, stream).await,
@@ -557,7 +584,7 @@
     );
 }
 
-fn log_phase(announcement: &Announcement) {
+fn log_phase(announcement: &Announcement, source: Source) {
     let phase = match announcement.phase {
         Phase::Ready => "ready",
         Phase::Leaving => "leaving",
@@ -566,7 +593,8 @@
         upstream:% = announcement.upstream,
         start = announcement.incarnation.0,
         seq = announcement.seq,
-        address:% = announcement.address;
+        address:% = announcement.address,
+        source = source.name();
         "upstream {phase}"
     );
 }
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -199,15 +199,15 @@
             .leave_age(now, &pick.upstream, pick.incarnation)
     }
 
-    /// Applies a leave. Returns whether it was news.
-    pub fn observe_leave(&self, notice: &LeaveNotice) -> bool {
+    /// Applies a leave. Returns whether it was news. `source` is for the log.
+    pub fn observe_leave(&self, notice: &LeaveNotice, source: &'static str) -> bool {
         let now = self.timer.now();
         let is_new = self.table().observe_leave(now, notice);
         if is_new {
             self.metrics.announcements.add("leave");
             log::info!(
                 upstream:% = notice.upstream, start = notice.starts.known.0,
-                latest = notice.starts.latest.0, age = notice.age.0;
+                latest = notice.starts.latest.0, age = notice.age.0, source;
                 "upstream has left"
             );
         }
