Deliver leaves and versions to each node until it confirms them

Symptom: a router chose an upstream over 2.5 s after a host had acknowledged its leave (DRAIN).

Cause: the host that took a leave told two nodes drawn by lot in each round and forgot it. Whether all others heard within the stated time was left to chance: to the draw, to lost packets, and to the other facts in the queue.

The ten tests of roster_deadlines failed before.

Fix: whoever acknowledges answers. A control host sends a leave that it takes, in a call or a heartbeat, to each node until that node confirms it; so does the first control host that has a newer version. Gossip sends such facts before all others.

In passing: the choice of a silent node to probe compared each node with each live one, so its cost grew with the square of their number. It asks for the state of the node itself now.

--- a/crates/core/src/roster/fact.rs
+++ b/crates/core/src/roster/fact.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::delivery::Receipt;
 use crate::id::DataCentre;
 use crate::id::Fingerprint;
 use crate::id::Host;
@@ -68,6 +69,10 @@
     OriginAnswer(Box<OriginAnswer>),
     /// Leaves of upstreams.
     Leaves(Vec<LeaveNotice>),
+    /// Numbers of the other facts of the packet, which the receiver confirms; not passed on.
+    Delivery(Receipt),
+    /// Confirms facts of an earlier packet of the receiver; not passed on.
+    Receipt(Receipt),
 }
 
 impl From<Finding> for Fact {
@@ -105,6 +110,23 @@
         }
     }
 
+    /// Returns whether both facts say the same of their subject. Heartbeats and ages, which change all
+    /// the time, don't count.
+    pub(super) fn states_same(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Node(one), Self::Node(other)) => {
+                one.address == other.address
+                    && one.plan == other.plan
+                    && one.leaving == other.leaving
+            }
+            (Self::Leaves(one), Self::Leaves(other)) => {
+                let one = one.iter().map(|notice| (&notice.upstream, notice.starts));
+                one.eq(other.iter().map(|notice| (&notice.upstream, notice.starts)))
+            }
+            _ => self == other,
+        }
+    }
+
     /// Returns whether nodes of earlier versions can't decode the fact.
     pub(super) fn is_extension(&self) -> bool {
         match self {
@@ -118,7 +140,9 @@
             | Self::Origin(_)
             | Self::OriginRequest(_)
             | Self::OriginAnswer(_)
-            | Self::Leaves(_) => true,
+            | Self::Leaves(_)
+            | Self::Delivery(_)
+            | Self::Receipt(_) => true,
         }
     }
 }
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -5,12 +5,19 @@
 //! times. Anti-entropy resends all known facts a few at a time, which repairs lost packets. Facts
 //! about one subject are ordered by version, so the order in which they arrive does not matter.
 //!
+//! Gossip alone reaches all nodes in a time that has no bound. News that have to be known within a
+//! stated time are also delivered: the node that took them sends them to each other node until that
+//! one confirms them.
+//!
 //! The state is a hint about where to send requests. It never grants a permission.
 
+mod delivery;
 mod fact;
 mod spread;
 mod table;
 
+pub use delivery::Receipt;
+pub use delivery::Unconfirmed;
 pub use fact::Fact;
 pub use fact::NodeFact;
 pub use fact::Packet;
--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -9,6 +9,10 @@
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
 
+use super::delivery::Deliveries;
+use super::delivery::Receipt;
+use super::delivery::Receiver;
+use super::delivery::Unconfirmed;
 use super::fact::Fact;
 use super::fact::NodeFact;
 use super::fact::Packet;
@@ -88,6 +92,7 @@
     seeds: Vec<SocketAddr>,
     nodes: Map<SocketAddr, Member>,
     queue: GossipQueue,
+    deliveries: Deliveries,
     /// Time of the last packet from any node.
     last_packet: Option<Millis>,
     ticks: u64,
@@ -113,6 +118,7 @@
             seeds,
             nodes: Map::default(),
             queue: GossipQueue::default(),
+            deliveries: Deliveries::default(),
             last_packet: None,
             ticks: 0,
             cursor: 0,
@@ -126,11 +132,20 @@
     }
 
     /// Changes this node's own state and queues it as an urgent fact.
+    ///
+    /// The first control host that has a newer plan version delivers it to all others: it was there
+    /// when the version was acknowledged.
     pub fn update_own(&mut self, change: impl FnOnce(&mut NodeFact)) {
+        let highest = self.highest_plan();
         change(&mut self.own);
         self.own.beat += 1;
-        self.queue
-            .push(Fact::Node(self.own.clone()), Urgency::Urgent);
+        let fact = Fact::Node(self.own.clone());
+        match self.own.role {
+            Role::Control if self.own.plan > highest => {
+                self.announce(fact);
+            }
+            _ => self.queue.push(fact, Urgency::Urgent),
+        }
     }
 
     /// Replaces the seed addresses.
@@ -143,9 +158,39 @@
         self.queue.push(fact, urgency);
     }
 
-    /// Queues news that this node was told by its subject, so that it answers for telling the others.
-    pub fn announce(&mut self, fact: Fact) {
-        self.queue.push(fact, Urgency::Urgent);
+    /// Takes news that this node answers for, as their subject told it: they are gossiped, and
+    /// delivered to each other node until that one confirms them. Returns whether they are not under
+    /// way already.
+    pub fn announce(&mut self, fact: Fact) -> bool {
+        let nodes = self.nodes.keys().copied();
+        let is_new = self.deliveries.begin(fact.clone(), nodes);
+        if is_new {
+            self.queue.push(fact, Urgency::Deadline);
+        }
+        is_new
+    }
+
+    /// Records that a node has confirmed news of this node.
+    pub fn confirm(&mut self, from: SocketAddr, receipt: &Receipt) {
+        // An earlier process at this address gave its news the same numbers.
+        if receipt.start == self.own.start {
+            self.deliveries.confirm(from, &receipt.numbers);
+        }
+    }
+
+    /// Returns the news that live nodes have not confirmed `age` after they were first sent.
+    pub fn unconfirmed(&self, now: Millis, age: Millis) -> Vec<Unconfirmed> {
+        self.deliveries
+            .unconfirmed(now, age, |address| self.receiver(now, address))
+    }
+
+    fn receiver(&self, now: Millis, address: &SocketAddr) -> Receiver {
+        match self.nodes.get(address) {
+            None => Receiver::Removed,
+            // A node that is about to stop still sends requests.
+            Some(member) if self.is_heard(now, member) => Receiver::Live,
+            Some(_) => Receiver::Silent,
+        }
     }
 
     /// Merges the state of another node if it is newer. Returns whether the node is new, restarted,
@@ -172,9 +217,14 @@
         let is_change = is_status_change || has_newer_plan;
         // Only the first node with a new plan version is urgent. Others that have it say so in the
         // state that they send at every tick; anti-entropy carries it further.
-        if is_status_change || fact.plan > self.highest_plan() {
+        if fact.plan > self.highest_plan() {
+            self.queue.push(Fact::Node(fact.clone()), Urgency::Deadline);
+        } else if is_status_change {
             self.queue.push(Fact::Node(fact.clone()), Urgency::Urgent);
         }
+        if known.is_none_or(|known| known.fact.start != fact.start) {
+            self.deliveries.add_node(fact.address);
+        }
         let member = Member {
             fact,
             last_heartbeat: now,
@@ -228,9 +278,19 @@
             facts.extend(self.next_anti_entropy(now, room, background));
             packets.extend(into_packets(target, asks, facts));
         }
+        packets.extend(self.due_deliveries(now));
         packets
     }
 
+    /// Returns the packets with news that other nodes have yet to confirm.
+    fn due_deliveries(&mut self, now: Millis) -> impl Iterator<Item = (SocketAddr, Packet)> {
+        let mut deliveries = std::mem::take(&mut self.deliveries);
+        let due = deliveries.due(now, &self.own, |address| self.receiver(now, address));
+        self.deliveries = deliveries;
+        due.into_iter()
+            .map(|(to, facts)| (to, Packet { asks: false, facts }))
+    }
+
     /// Returns packets with everything that this node resends, for a node that asks for it.
     /// `background` is as for [`Self::tick`].
     pub fn full_state(
@@ -281,8 +341,12 @@
             .copied()
             .collect();
         if live.is_empty() || self.ticks.is_multiple_of(self.settings.probe_ticks) {
-            let failed = self.nodes.keys().filter(|at| !live.contains(at));
-            let seeds = self.seeds.iter().filter(|at| !live.contains(at));
+            let is_live = |at: &&SocketAddr| {
+                let member = self.nodes.get(*at);
+                member.is_some_and(|member| self.is_live(now, member))
+            };
+            let failed = self.nodes.keys().filter(|at| !is_live(at));
+            let seeds = self.seeds.iter().filter(|at| !is_live(at));
             let probes: Vec<SocketAddr> = failed
                 .chain(seeds)
                 .copied()
@@ -295,12 +359,17 @@
         targets
     }
 
-    /// Returns whether a node's last heartbeat is within the failure timeout and it is not leaving.
-    fn is_live(&self, now: Millis, member: &Member) -> bool {
+    /// Returns whether a node's last heartbeat is within the failure timeout.
+    fn is_heard(&self, now: Millis, member: &Member) -> bool {
         let nodes = self.nodes.len() as u64;
         let timeout =
             self.settings.failure_timeout + Millis(nodes * self.settings.node_allowance.0);
-        now < member.last_heartbeat + timeout && !member.fact.leaving
+        now < member.last_heartbeat + timeout
+    }
+
+    /// Returns whether a node's last heartbeat is within the failure timeout and it is not leaving.
+    fn is_live(&self, now: Millis, member: &Member) -> bool {
+        self.is_heard(now, member) && !member.fact.leaving
     }
 
     /// Returns the other nodes within the failure timeout that are not leaving.
--- a/crates/core/src/upstream/leave.rs
+++ b/crates/core/src/upstream/leave.rs
@@ -122,6 +122,16 @@
         leave.filter(|leave| now < leave.expires)
     }
 
+    /// Returns the leave of an upstream.
+    pub fn notice(&self, now: Millis, upstream: &Upstream) -> Option<LeaveNotice> {
+        let leave = self.active(now, upstream)?;
+        Some(LeaveNotice {
+            upstream: upstream.clone(),
+            starts: leave.starts,
+            age: leave.age(now),
+        })
+    }
+
     /// Returns all leaves, for nodes that missed them.
     pub fn notices(&self, now: Millis) -> impl Iterator<Item = LeaveNotice> {
         let active = self
--- a/crates/core/src/upstream/table/leaves.rs
+++ b/crates/core/src/upstream/table/leaves.rs
@@ -49,6 +49,11 @@
         announcement
     }
 
+    /// Returns the known leave of an upstream.
+    pub fn leave_notice(&self, now: Millis, upstream: &Upstream) -> Option<LeaveNotice> {
+        self.leaves.notice(now, upstream)
+    }
+
     /// Returns all known leaves, for nodes that missed them.
     pub fn leave_notices(&self, now: Millis) -> impl Iterator<Item = LeaveNotice> {
         self.leaves.notices(now)
--- a/crates/core/tests/odd_gossip.rs
+++ b/crates/core/tests/odd_gossip.rs
@@ -134,7 +134,9 @@
                 | Fact::Origin(_)
                 | Fact::OriginRequest(_)
                 | Fact::OriginAnswer(_)
-                | Fact::Leaves(_) => {}
+                | Fact::Leaves(_)
+                | Fact::Delivery(_)
+                | Fact::Receipt(_) => {}
             }
         }
         match packet.asks {
--- a/crates/core/tests/roster.rs
+++ b/crates/core/tests/roster.rs
@@ -125,7 +125,9 @@
                 | Fact::Origin(_)
                 | Fact::OriginRequest(_)
                 | Fact::OriginAnswer(_)
-                | Fact::Leaves(_) => {}
+                | Fact::Leaves(_)
+                | Fact::Delivery(_)
+                | Fact::Receipt(_) => {}
             }
         }
         if packet.asks {
--- a/crates/core/tests/roster_deadlines.rs
+++ b/crates/core/tests/roster_deadlines.rs
@@ -192,6 +192,14 @@
                     .into_iter()
                     .for_each(|notice| self.hear_leave(at, notice)),
                 Fact::Proof(proof) => self.hear_proof(at, proof.part.0),
+                Fact::Delivery(receipt) => {
+                    let packet = Packet {
+                        asks: false,
+                        facts: vec![Fact::Receipt(receipt)],
+                    };
+                    self.send(at, vec![(address(from), packet)]);
+                }
+                Fact::Receipt(receipt) => self.rosters[at].confirm(address(from), &receipt),
                 _ => {}
             }
         }
@@ -202,9 +210,9 @@
         }
     }
 
-    /// Facts of a node that anti-entropy resends: 60 announcements stand for others of their size.
+    /// Facts of a node that anti-entropy resends along with the known nodes.
     fn background(&self, at: usize) -> Vec<Fact> {
-        let leaves = self.leaves[at].iter().map(|upstream| notice(upstream));
+        let leaves = self.leaves[at].iter().map(notice);
         leaves.map(|notice| Fact::Leaves(vec![notice])).collect()
     }
 
@@ -221,7 +229,7 @@
     fn hear_leave(&mut self, at: usize, notice: LeaveNotice) {
         if self.leaves[at].insert(notice.upstream.clone()) {
             let fact = Fact::Leaves(vec![notice]);
-            self.rosters[at].enqueue(fact, Urgency::Urgent);
+            self.rosters[at].enqueue(fact, Urgency::Deadline);
         }
     }
 
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -59,6 +59,13 @@
 /// Time in which one leave that answers of an upstream state stands for all.
 const RESTATE_PERIOD: Millis = Millis(1_000);
 
+/// Time in which live nodes confirm news that this node delivers. Users state two seconds and more
+/// for leaves and versions.
+const UNCONFIRMED_AGE: Millis = Millis(1_000);
+
+/// Most lines about unconfirmed news at a time.
+const MAX_LOGGED_NEWS: usize = 4;
+
 /// Pause after a socket error, so that a lasting failure does not cause a busy loop.
 const SOCKET_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -92,6 +99,8 @@
     roster: Mutex<Roster>,
     /// Nodes that were live in the last round, to log changes.
     live: Mutex<Set<SocketAddr>>,
+    /// When unconfirmed news were logged last.
+    logged: Mutex<Millis>,
     upstreams: Upstreams,
     gossip: GossipSocket,
     /// Starts a round before the next tick.
@@ -119,6 +128,7 @@
             inner: Arc::new(Inner {
                 roster: Mutex::new(roster),
                 live: Mutex::default(),
+                logged: Mutex::default(),
                 upstreams,
                 gossip,
                 wake: Notify::new(),
@@ -194,17 +204,16 @@
         self.inner.wake.notify_one();
     }
 
-    /// Applies an announcement that an upstream sent to this node, and gossips it if it is new.
+    /// Applies an announcement that an upstream sent to this node, and gossips it if it is new. This
+    /// node answers for a leave: it delivers it to all others.
     pub fn announce(&self, announcement: Announcement) -> AnnouncementChange {
-        if announcement.phase == Phase::Leaving {
-            let known = self.inner.upstreams.incarnation(&announcement.upstream);
-            log::debug!(
-                upstream:% = announcement.upstream, start = announcement.incarnation.0,
-                known:? = known.map(|start| start.0), seq = announcement.seq;
-                "heartbeat of a leaving upstream acknowledged"
-            );
-        }
+        let leaving = announcement.phase == Phase::Leaving;
+        let leaving = leaving.then(|| announcement.upstream.clone());
+        let starts = Attribution::stated(announcement.incarnation);
         let change = self.observe(announcement, Source::Upstream);
+        if let Some(upstream) = leaving {
+            self.deliver_leave(&upstream, starts, "heartbeat");
+        }
         if change == AnnouncementChange::Availability {
             self.inner.wake.notify_one();
         }
@@ -235,16 +244,38 @@
     /// it, or all starts until now if it stated none.
     pub fn announce_leave(&self, upstream: &Upstream, stated: Option<Incarnation>) {
         let known = self.inner.upstreams.incarnation(upstream);
-        log::info!(
-            upstream:% = upstream, stated:? = stated.map(|start| start.0),
-            known:? = known.map(|start| start.0);
-            "leave call acknowledged"
-        );
         let starts = match stated {
             Some(start) => Attribution::stated(start),
             None => Attribution::heard_at(self.inner.timer.unix(), known),
         };
         self.apply_leave(upstream, starts);
+        self.deliver_leave(upstream, starts, "call");
+    }
+
+    /// Delivers a leave to all other nodes, unless this node does so already. `statement` is what the
+    /// upstream stated it in, for the log.
+    fn deliver_leave(&self, upstream: &Upstream, starts: Attribution, statement: &'static str) {
+        let notice = LeaveNotice {
+            upstream: upstream.clone(),
+            starts,
+            age: Millis::ZERO,
+        };
+        self.observe_leaves(&[notice], Source::Upstream);
+        let upstreams = &self.inner.upstreams;
+        // With the starts of earlier leaves, so that an old statement does not replace a newer one.
+        let Some(notice) = upstreams.leave_notice(upstream) else {
+            return;
+        };
+        let starts = notice.starts;
+        if self.roster().announce(Fact::Leaves(vec![notice])) {
+            let known = upstreams.incarnation(upstream);
+            log::info!(
+                upstream:% = upstream, start = starts.known.0, latest = starts.latest.0,
+                known:? = known.map(|start| start.0), statement;
+                "leave acknowledged"
+            );
+            self.inner.wake.notify_one();
+        }
     }
 
     /// Announces that the upstream of an attempt leaves, as it stated in its answer. An upstream that
@@ -263,11 +294,13 @@
         let known = self.inner.upstreams.announcement(upstream);
         // Nodes of earlier versions know leaves by the announcement alone.
         if let Some(known) = known.filter(|known| known.incarnation <= starts.known) {
-            self.announce(Announcement {
+            let leaving = Announcement {
                 phase: Phase::Leaving,
                 seq: known.seq.saturating_add(1).min(MAX_SEQUENCE),
                 ..known
-            });
+            };
+            self.observe(leaving, Source::Upstream);
+            self.inner.wake.notify_one();
         }
         let notice = LeaveNotice {
             upstream: upstream.clone(),
@@ -287,7 +320,7 @@
         let new: Vec<&LeaveNotice> = notices.iter().filter(is_new).collect();
         for notice in &new {
             let fact = Fact::Leaves(vec![(*notice).clone()]);
-            self.roster().enqueue(fact, Urgency::Urgent);
+            self.roster().enqueue(fact, Urgency::Deadline);
         }
         !new.is_empty()
     }
@@ -398,8 +431,12 @@
             }
             AnnouncementChange::Availability => {
                 log_phase(&announcement, source);
+                let urgency = match announcement.phase {
+                    Phase::Ready => Urgency::Urgent,
+                    Phase::Leaving => Urgency::Deadline,
+                };
                 let fact = Fact::Upstream(Box::new(announcement));
-                self.roster().enqueue(fact, Urgency::Urgent);
+                self.roster().enqueue(fact, urgency);
             }
         }
         change
@@ -465,6 +502,9 @@
                 Fact::Leaves(notices) => {
                     self.observe_leaves(&notices, Source::Gossip);
                 }
+                // The last fact of its packet, so that the others are in force.
+                Fact::Delivery(receipt) => self.send_direct(from, Fact::Receipt(receipt)).await,
+                Fact::Receipt(receipt) => self.roster().confirm(from, &receipt),
                 Fact::Origin(notice) => self.keep_origin(*notice),
                 Fact::OriginRequest(stream) => self.answer_origin(from, stream).await,
                 Fact::OriginAnswer(answer) => self.observe_origin(from, *answer),
@@ -512,6 +552,7 @@
             let packets = self.roster().tick(self.now(), &background);
             self.send(packets).await;
             self.log_membership();
+            self.log_unconfirmed();
         }
     }
 
@@ -545,6 +586,38 @@
             .collect()
     }
 
+    /// Shows how many deliveries live nodes have not confirmed in time, and logs them once in
+    /// [`UNCONFIRMED_AGE`].
+    fn log_unconfirmed(&self) {
+        let now = self.now();
+        let late = self.roster().unconfirmed(now, UNCONFIRMED_AGE);
+        let nodes: usize = late.iter().map(|news| news.nodes.len()).sum();
+        let metrics = self.inner.upstreams.metrics();
+        metrics.unconfirmed.set(nodes as i64);
+        let mut logged = self
+            .inner
+            .logged
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if late.is_empty() || now < *logged + UNCONFIRMED_AGE {
+            return;
+        }
+        *logged = now;
+        for news in late.iter().take(MAX_LOGGED_NEWS) {
+            let subject = match &news.fact {
+                Fact::Leaves(notices) => notices.first().map(|notice| notice.upstream.to_string()),
+                Fact::Node(node) => Some(format!("version {}", node.plan)),
+                _ => None,
+            };
+            let first: Vec<String> = news.nodes.iter().take(4).map(|at| at.to_string()).collect();
+            log::warn!(
+                subject:? = subject, age = news.age.0, nodes = news.nodes.len(),
+                first:% = first.join(" ");
+                "news not confirmed"
+            );
+        }
+    }
+
     /// Logs the nodes that joined or were lost since the last round.
     fn log_membership(&self) {
         let live = self.live();
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -214,6 +214,12 @@
         is_new
     }
 
+    /// Returns the known leave of an upstream.
+    pub fn leave_notice(&self, upstream: &Upstream) -> Option<LeaveNotice> {
+        let now = self.timer.now();
+        self.table().leave_notice(now, upstream)
+    }
+
     /// See [`Table::leave_notices`].
     pub fn leave_notices(&self) -> Vec<LeaveNotice> {
         let now = self.timer.now();
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -89,6 +89,8 @@
     pub faults: OutcomeCounter,
     /// Fetches of newer routes from other nodes by outcome.
     pub plan_fetches: OutcomeCounter,
+    /// Confirmations of leaves and versions that live nodes owe this one for longer than usual.
+    pub unconfirmed: Gauge,
     /// Requests to other routers for tokens: lent, empty or failed.
     pub loans: OutcomeCounter,
     /// Rates that upstreams named, and what became of requests for upstreams with one.
@@ -163,6 +165,7 @@
             not_run: OutcomeCounter::default(),
             faults: OutcomeCounter::default(),
             plan_fetches: OutcomeCounter::default(),
+            unconfirmed: Gauge::default(),
             loans: OutcomeCounter::default(),
             rates: OutcomeCounter::default(),
             pauses: OutcomeCounter::default(),
@@ -238,6 +241,11 @@
                 &self.unresolved,
             ),
             ("revision_in_force", "Revision in force", &self.revision),
+            (
+                "confirmations_late",
+                "Leaves and versions times nodes that have not confirmed them in time",
+                &self.unconfirmed,
+            ),
         ];
         for (name, help, gauge) in gauges {
             self.registry.register(name, help, gauge.clone());
