Test: crash evidence that is heard late on the small side of a cut

The same cause as late leaves: who is told is drawn by lot, here among nodes of which most can't be reached.

--- a/crates/core/tests/roster_deadlines.rs
+++ b/crates/core/tests/roster_deadlines.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 
+use chestnutnotch_core::id::Fingerprint;
 use chestnutnotch_core::id::PromptPart;
 use chestnutnotch_core::id::Upstream;
 use chestnutnotch_core::map::Map;
@@ -34,6 +35,12 @@
 /// state for either is 2 s.
 const BOUND_TICKS: u64 = 13;
 
+/// Ticks in which all routers have to know crash evidence: 3 s, the shortest time that users state.
+const EVIDENCE_TICKS: u64 = 20;
+
+/// Crashes that one router finds at once.
+const CRASHES: u64 = 5;
+
 /// Control hosts; nodes with these numbers come first.
 const CONTROL_HOSTS: usize = 8;
 
@@ -65,6 +72,7 @@
     numbers: Map<SocketAddr, usize>,
     leaves: Vec<Set<Upstream>>,
     proofs: Vec<Set<u64>>,
+    crashes: Vec<Set<Fingerprint>>,
     /// Packets sent in this tick, and those that wait for a late node, by receiver.
     sent: Vec<(usize, usize, Packet)>,
     inbox: Vec<Vec<(usize, Packet)>>,
@@ -110,6 +118,7 @@
             numbers: (0..count).map(|number| (address(number), number)).collect(),
             leaves: vec![Set::default(); count],
             proofs: vec![Set::default(); count],
+            crashes: vec![Set::default(); count],
             sent: Vec::new(),
             inbox: vec![Vec::new(); count],
             rng: ChaCha8Rng::seed_from_u64(20_261_206),
@@ -192,6 +201,7 @@
                     .into_iter()
                     .for_each(|notice| self.hear_leave(at, notice)),
                 Fact::Proof(proof) => self.hear_proof(at, proof.part.0),
+                Fact::Crash { body, .. } => self.hear_crash(at, body),
                 Fact::Delivery(receipt) => {
                     let packet = Packet {
                         asks: false,
@@ -226,6 +236,18 @@
         }
     }
 
+    /// A node finds crash evidence, or hears of it.
+    fn hear_crash(&mut self, at: usize, body: Fingerprint) {
+        if self.crashes[at].insert(body) {
+            let fact = Fact::Crash {
+                body,
+                upstream: Upstream::from("engine"),
+                incarnation: Incarnation(1),
+            };
+            self.rosters[at].enqueue(fact, Urgency::Urgent);
+        }
+    }
+
     fn hear_leave(&mut self, at: usize, notice: LeaveNotice) {
         if self.leaves[at].insert(notice.upstream.clone()) {
             let fact = Fact::Leaves(vec![notice]);
@@ -302,6 +324,22 @@
     assert!(late.is_empty(), "nodes that do not know of it: {late:?}");
 }
 
+/// The failure: routers that had not heard of crashes sent the requests that cause them on.
+fn evidence_is_known_in_time(count: usize, trouble: Trouble) {
+    let mut fleet = Fleet::new(count, trouble);
+    fleet.warm_up();
+    for crash in 0..CRASHES {
+        let finder = fleet.reachable().end - 1;
+        fleet.hear_crash(finder, Fingerprint(u128::from(crash).to_be_bytes()));
+    }
+    (0..EVIDENCE_TICKS).for_each(|_| fleet.tick());
+    let late: Vec<usize> = fleet
+        .reachable()
+        .filter(|number| fleet.crashes[*number].len() < CRASHES as usize)
+        .collect();
+    assert!(late.is_empty(), "nodes that miss evidence: {late:?}");
+}
+
 macro_rules! known_in_time {
     ($($name:ident: $check:ident, $count:literal, { $($field:ident: $value:expr),* };)*) => {$(
         #[test]
@@ -332,4 +370,10 @@
         version_is_known_in_time, 1_000, { loss: 0.1, late: 0.1, urgent: 20, full: true };
     versions_are_late_on_the_small_side_of_a_cut:
         version_is_known_in_time, 82, { loss: 0.1, urgent: 5, cut: 6, cut_ticks: 25 };
+    evidence_is_late_beside_other_news_at_82_hosts:
+        evidence_is_known_in_time, 82, { loss: 0.1, urgent: 5 };
+    evidence_is_late_beside_other_news_at_200_hosts:
+        evidence_is_known_in_time, 200, { loss: 0.1, urgent: 5 };
+    evidence_is_late_on_the_small_side_of_a_cut:
+        evidence_is_known_in_time, 82, { loss: 0.1, urgent: 5, cut: 12, cut_ticks: 25 };
 }
