--- a/crates/core/src/roster/delivery.rs
+++ b/crates/core/src/roster/delivery.rs
@@ -167,6 +167,7 @@
         let mut leaves = Vec::new();
         for delivery in numbers.iter().filter_map(|number| self.news.get(number)) {
             match &delivery.fact {
+                // With its newest heartbeat, or receivers that have heard a later one ignore it.
                 Fact::Node(_) => facts.push(Fact::Node(own.clone())),
                 Fact::Leaves(notices) => {
                     let delay = now.saturating_sub(delivery.begun.unwrap_or(now));
--- a/crates/core/src/roster/spread.rs
+++ b/crates/core/src/roster/spread.rs
@@ -63,8 +63,8 @@
         }
     }
 
-    /// Takes at most `limit` facts for one tick, those with a deadline first, then urgent ones. Facts with ticks left stay
-    /// queued.
+    /// Takes at most `limit` facts for one tick: those with a deadline first, then urgent ones. Facts
+    /// with ticks left stay queued.
     pub fn take(&mut self, limit: usize) -> Vec<Fact> {
         let reserved = self.refresh.len().min(limit / REFRESH_DIVISOR);
         let mut taken = take_front(&mut self.deadline, limit - reserved);
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -205,13 +205,14 @@
     }
 
     /// Applies an announcement that an upstream sent to this node, and gossips it if it is new. This
-    /// node answers for a leave: it delivers it to all others.
+    /// node answers for a leave: it delivers it to all others. So does each node that the upstream
+    /// tells, as one of them may be cut off.
     pub fn announce(&self, announcement: Announcement) -> AnnouncementChange {
-        let leaving = announcement.phase == Phase::Leaving;
-        let leaving = leaving.then(|| announcement.upstream.clone());
+        let upstream = announcement.upstream.clone();
+        let phase = announcement.phase;
         let starts = Attribution::stated(announcement.incarnation);
         let change = self.observe(announcement, Source::Upstream);
-        if let Some(upstream) = leaving {
+        if phase == Phase::Leaving {
             self.deliver_leave(&upstream, starts, "heartbeat");
         }
         if change == AnnouncementChange::Availability {
@@ -586,8 +587,8 @@
             .collect()
     }
 
-    /// Shows how many deliveries live nodes have not confirmed in time, and logs them once in
-    /// [`UNCONFIRMED_AGE`].
+    /// Shows in the metrics how many confirmations live nodes owe this one for longer than
+    /// [`UNCONFIRMED_AGE`], and logs for which news, at most once in that time.
     fn log_unconfirmed(&self) {
         let now = self.now();
         let late = self.roster().unconfirmed(now, UNCONFIRMED_AGE);
@@ -604,15 +605,9 @@
         }
         *logged = now;
         for news in late.iter().take(MAX_LOGGED_NEWS) {
-            let subject = match &news.fact {
-                Fact::Leaves(notices) => notices.first().map(|notice| notice.upstream.to_string()),
-                Fact::Node(node) => Some(format!("version {}", node.plan)),
-                _ => None,
-            };
-            let first: Vec<String> = news.nodes.iter().take(4).map(|at| at.to_string()).collect();
             log::warn!(
-                subject:? = subject, age = news.age.0, nodes = news.nodes.len(),
-                first:% = first.join(" ");
+                subject:% = subject(&news.fact), age = news.age.0, nodes = news.nodes.len(),
+                first:? = news.nodes.first();
                 "news not confirmed"
             );
         }
@@ -657,6 +652,18 @@
     );
 }
 
+/// Returns what delivered news are about, for the log.
+fn subject(fact: &Fact) -> String {
+    match fact {
+        Fact::Leaves(notices) => {
+            let names = notices.iter().map(|notice| notice.upstream.as_str());
+            names.collect::<Vec<&str>>().join(" ")
+        }
+        Fact::Node(node) => format!("version {}", node.plan),
+        _ => String::new(),
+    }
+}
+
 fn log_phase(announcement: &Announcement, source: Source) {
     let phase = match announcement.phase {
         Phase::Ready => "ready",
