Test: stand-ins of raw bytes answer probes

Cause: an upstream is probed until a second announcement confirms it. The upstreams of router_resumes and router_framing answered probes with 404. If the round of probes fell between the two announcements, the router rightly did not use the upstream for two seconds.

Ruled out: a fault of the router, which may not use an upstream that denies its state.

After: the upstreams answer a probe with their announcement. What the cases check is unchanged.

--- a/crates/fleet/tests/router_framing.rs
+++ b/crates/fleet/tests/router_framing.rs
@@ -40,22 +40,34 @@
     Endless(&'static str),
 }
 
-/// Serves all requests: gives the answer to the first path, and status 404 to any other.
-async fn serve(listener: TcpListener, path: &'static str, text: String, ending: Ending) {
+/// What an upstream answers.
+#[derive(Clone)]
+struct Answers {
+    /// The path that gets `text`. Any other gets the state of the upstream, as probes ask for it.
+    path: &'static str,
+    text: String,
+    ending: Ending,
+    state: String,
+}
+
+async fn serve(listener: TcpListener, answers: Answers) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(answer(stream, path, text.clone(), ending));
+        tokio::spawn(answer(stream, answers.clone()));
     }
 }
 
-async fn answer(mut stream: TcpStream, path: &'static str, text: String, ending: Ending) {
+async fn answer(mut stream: TcpStream, answers: Answers) {
     let mut request = vec![0; 65_536];
     let size = stream.read(&mut request).await.unwrap_or(0);
     let request = String::from_utf8_lossy(&request[..size]).into_owned();
-    if !request.contains(path) {
-        let refusal = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-        let _ = stream.write_all(refusal).await;
+    if !request.contains(answers.path) {
+        let size = answers.state.len();
+        let head =
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {size}\r\nConnection: close\r\n\r\n");
+        let _ = stream.write_all((head + &answers.state).as_bytes()).await;
         return;
     }
+    let Answers { text, ending, .. } = answers;
     let headers = request.lines().filter_map(|line| line.split_once(": "));
     let mut ids = headers.filter(|(name, _)| name.eq_ignore_ascii_case("x-request-id"));
     let id = ids.next().map_or("", |(_, id)| id);
@@ -79,7 +91,13 @@
     let fixture = RouterFixture::new(PREPAID).await;
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    tokio::spawn(serve(listener, path, text, ending));
+    let answers = Answers {
+        path,
+        text,
+        ending,
+        state: announcement(address, &offer, 2).to_string(),
+    };
+    tokio::spawn(serve(listener, answers));
     // The second announcement confirms the first.
     for seq in 1..=2 {
         announce(&fixture, address, &offer, seq).await;
@@ -87,12 +105,15 @@
     fixture
 }
 
-async fn announce(fixture: &RouterFixture, address: SocketAddr, offer: &Value, seq: u64) {
-    let announcement = json!({
+fn announcement(address: SocketAddr, offer: &Value, seq: u64) -> Value {
+    json!({
         "upstream": "raw", "incarnation": 1, "seq": seq, "address": address, "centre": "north",
         "phase": "ready", "offer": offer, "slots": 8,
-    });
-    let body = Bytes::from(announcement.to_string());
+    })
+}
+
+async fn announce(fixture: &RouterFixture, address: SocketAddr, offer: &Value, seq: u64) {
+    let body = Bytes::from(announcement(address, offer, seq).to_string());
     let answer = fixture.send(Method::POST, "/v1/announce", &[], body).await;
     assert!(answer.status.is_success(), "{answer:?}");
 }
--- a/crates/fleet/tests/router_resumes.rs
+++ b/crates/fleet/tests/router_resumes.rs
@@ -4,8 +4,11 @@
 
 mod support;
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use http::Method;
+use serde_json::Value;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -35,20 +38,24 @@
 const ERROR_HEAD: &str =
     "HTTP/1.1 500 engine failed\r\nContent-Length: 13\r\n\r\nengine failed\r\n\r\n";
 
-/// Serves all requests: a chat gets one token before its stream breaks off, a resume this answer.
+/// Serves all requests: a chat gets one token before its stream breaks off, a resume this answer, a
+/// probe the state of the upstream.
 async fn serve(listener: TcpListener, rest: String) {
+    let state = announcement(listener.local_addr().unwrap(), 2).to_string();
+    let state = sized("200 OK", JSON_TYPE, &state);
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(answer(stream, rest.clone()));
+        tokio::spawn(answer(stream, rest.clone(), state.clone()));
     }
 }
 
-async fn answer(mut stream: TcpStream, rest: String) {
+async fn answer(mut stream: TcpStream, rest: String, state: String) {
     let mut request = vec![0; 65_536];
     let size = stream.read(&mut request).await.unwrap_or(0);
     let request = String::from_utf8_lossy(&request[..size]).into_owned();
     let text = match request.split(' ').nth(1) {
         Some("/v1/chat/completions") => format!("HTTP/1.1 200 OK\r\n{EVENTS_TYPE}\r\n{TOKEN}"),
         Some("/v1/resume") => rest,
+        Some("/v1/phase") => state,
         _ => "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n".to_owned(),
     };
     let headers = request.lines().filter_map(|line| line.split_once(": "));
@@ -57,6 +64,14 @@
     let _ = stream.write_all(text.replace("{id}", id).as_bytes()).await;
 }
 
+/// Returns an announcement of the upstream at this address.
+fn announcement(address: SocketAddr, seq: u64) -> Value {
+    json!({
+        "upstream": "raw", "incarnation": 1, "seq": seq, "address": address, "centre": "north",
+        "phase": "ready", "offer": {"models": [{"model": "fitting"}]}, "slots": 8,
+    })
+}
+
 /// Sends a streamed chat to an upstream that answers a resume with this text.
 async fn chat(rest: String) -> Answer {
     let fixture = RouterFixture::new(PREPAID).await;
@@ -65,11 +80,7 @@
     tokio::spawn(serve(listener, rest));
     // The second announcement confirms the first.
     for seq in 1..=2 {
-        let announcement = json!({
-            "upstream": "raw", "incarnation": 1, "seq": seq, "address": address, "centre": "north",
-            "phase": "ready", "offer": {"models": [{"model": "fitting"}]}, "slots": 8,
-        });
-        let body = Bytes::from(announcement.to_string());
+        let body = Bytes::from(announcement(address, seq).to_string());
         let answer = fixture.send(Method::POST, "/v1/announce", &[], body).await;
         assert!(answer.status.is_success(), "{answer:?}");
     }
