Keep a connection that opens slowly beside the next one when routes are fetched

The router knew of each version at once and gave up 33 connections in a row, each after 250 ms.

Cause: the time to open a connection had a fixed bound, and a connection that reached it was thrown away. A router whose packets wait longer than that never gets one.

Ruled out: a late router (no line `tasks run late`), news that are late (`newer routes known` came at once).

Now a connection may take two seconds. After 250 ms without one, another is opened beside it, to another holder where there is one; the first that opens is used. So a holder that is down costs as much time as before.

Test: documents, routes_stay_old_while_connections_open_slowly: the opening packet is dropped once. It failed before with `no connection`.

--- a/crates/fleet/src/controllers/plan.rs
+++ b/crates/fleet/src/controllers/plan.rs
@@ -16,12 +16,14 @@
 use chestnutnotch_core::route::RouteIndex;
 use chestnutnotch_core::route::WorkspaceSpec;
 use chestnutnotch_core::unit::Millis;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use tokio::sync::watch;
 
 use crate::controllers::nodes::Nodes;
 use crate::dialect::Dialect;
 use crate::edges::rpc::ControlClient;
-use crate::edges::rpc::node;
+use crate::edges::rpc::node::NodeConnection;
 use crate::edges::rpc::node::NodeError;
 use crate::keys;
 use crate::keys::KeyIndex;
@@ -38,9 +40,19 @@
 /// large set that several nodes fetch over the same link.
 const MAX_FETCH_TIMEOUT: Millis = Millis(3_200);
 
+/// Time after which another connection is opened beside those that are in progress: many round
+/// trips within a region.
+const CONNECT_STAGGER: Duration = Duration::from_millis(250);
+
 /// Time between two checks for newer routes, if no change of the membership comes earlier.
 const POLL_PERIOD: Duration = Duration::from_millis(200);
 
+/// Opens a connection to a node, and returns the node with it.
+async fn open(holder: NodeFact) -> (NodeFact, Result<NodeConnection, NodeError>) {
+    let opened = NodeConnection::open(holder.rpc).await;
+    (holder, opened)
+}
+
 /// A version of the routes with indexes by host, path and key.
 #[derive(Debug)]
 pub struct ActiveRoutes {
@@ -170,7 +182,7 @@
                     heard = peer.plan;
                     log::info!(version = peer.plan, holder:% = peer.host; "newer routes known");
                 }
-                self.fetch_newer(&peer).await;
+                self.fetch_newer(peer).await;
                 continue;
             }
             // After the timeout, the next check is due anyway.
@@ -178,23 +190,61 @@
         }
     }
 
-    /// Fetches the routes of a node that has newer ones, and activates them.
-    async fn fetch_newer(&mut self, peer: &NodeFact) {
-        match self.fetch(peer).await {
+    /// Fetches newer routes from this node or another one, and activates them.
+    async fn fetch_newer(&mut self, holder: NodeFact) {
+        match self.fetch(holder, None).await {
             Some(held) => self.activate(held),
             None => tokio::time::sleep(POLL_PERIOD / 4).await,
         }
     }
 
+    /// Fetches newer routes over the connection that opens first: to `first`, or to another node
+    /// with this role. Returns `None` if all connections fail.
+    ///
+    /// A connection that takes long stays in progress while others are opened: either its node has
+    /// stopped answering, or packets to and from all nodes take long.
+    async fn fetch(&mut self, first: NodeFact, role: Option<Role>) -> Option<PublishedPlan> {
+        let mut connecting = FuturesUnordered::new();
+        let mut tried = self.failed.clone();
+        let mut next = Some(first);
+        loop {
+            if let Some(holder) = next.take() {
+                tried.push(holder.rpc);
+                connecting.push(open(holder));
+            }
+            let opened = tokio::time::timeout(CONNECT_STAGGER, connecting.next()).await;
+            let is_late = opened.is_err();
+            match opened {
+                Ok(Some((holder, Ok(connection)))) => {
+                    if let Some(held) = self.fetch_over(&holder, connection).await {
+                        return Some(held);
+                    }
+                }
+                Ok(Some((holder, Err(error)))) => self.record_failure(&holder, &error),
+                Ok(None) => return None,
+                Err(_) => {}
+            }
+            // A node is tried again only if all connections are late, not if it has just failed.
+            let holder = self.parts.nodes.newest_plan_holder(role, &tried);
+            next = holder.filter(|holder| is_late || !tried.contains(&holder.rpc));
+        }
+    }
+
     /// Fetches the routes of a node. Returns `None` if that fails or they are not newer.
-    async fn fetch(&mut self, peer: &NodeFact) -> Option<PublishedPlan> {
+    async fn fetch_over(
+        &mut self,
+        holder: &NodeFact,
+        connection: NodeConnection,
+    ) -> Option<PublishedPlan> {
         let own = self.publish.borrow().version;
+        let connecting = Millis(connection.delay.as_millis() as u64);
+        let timeout = Duration::from_millis(self.timeout.current(connecting).0);
         let start = self.parts.timer.now();
-        let timeout = Duration::from_millis(self.timeout.current().0);
-        let fetched = node::fetch_plan(peer.rpc, own, timeout).await;
-        let ms = self.parts.timer.now().saturating_sub(start).0;
+        let fetched = connection.fetch_plan(own, timeout).await;
         match fetched {
             Ok(held) if held.version > own => {
+                let ms = self.parts.timer.now().saturating_sub(start).0;
+                log::info!(version = held.version, holder:% = holder.host, connecting_ms = connecting.0, ms; "newer routes fetched");
                 self.parts.metrics.plan_fetches.add("fetched");
                 self.failed.clear();
                 self.timeout.record_success();
@@ -203,22 +253,33 @@
             Ok(held) => {
                 // The node has restarted since it announced its version.
                 self.parts.metrics.plan_fetches.add("stale");
-                log::warn!(version = peer.plan, held = held.version, holder:% = peer.host; "node has no newer routes");
+                log::warn!(version = holder.plan, held = held.version, holder:% = holder.host; "node has no newer routes");
+                self.record_failed(holder.rpc);
             }
             Err(error) => {
                 if matches!(error, NodeError::TimedOut(_)) {
                     self.timeout.record_expired();
                 }
-                self.parts.metrics.plan_fetches.add(error.label());
-                log::warn!(error:% = error, version = peer.plan, holder:% = peer.host, ms; "fetching newer routes failed");
+                self.record_failure(holder, &error);
             }
         }
-        if self.failed.contains(&peer.rpc) {
+        None
+    }
+
+    /// Records a connection or a call that has failed.
+    fn record_failure(&mut self, holder: &NodeFact, error: &NodeError) {
+        self.parts.metrics.plan_fetches.add(error.label());
+        log::warn!(error:% = error, version = holder.plan, holder:% = holder.host; "fetching newer routes failed");
+        self.record_failed(holder.rpc);
+    }
+
+    /// Prefers other nodes to this one until a fetch succeeds.
+    fn record_failed(&mut self, address: SocketAddr) {
+        if self.failed.contains(&address) {
             // All holders have failed, so each of them is due again.
             self.failed.clear();
         }
-        self.failed.push(peer.rpc);
-        None
+        self.failed.push(address);
     }
 
     /// Returns routes that a quorum confirms, or else those of a router that already serves.
@@ -230,7 +291,7 @@
         }
         let nodes = &self.parts.nodes;
         let peer = nodes.newest_plan_holder(Some(Role::Router), &self.failed)?;
-        self.fetch(&peer).await
+        self.fetch(peer, Some(Role::Router)).await
     }
 
     /// Activates routes if they are newer.
--- a/crates/fleet/src/edges/rpc/node.rs
+++ b/crates/fleet/src/edges/rpc/node.rs
@@ -26,8 +26,9 @@
 use super::document::DocumentCache;
 use super::document::DocumentError;
 
-/// Bound on the time to open a connection to another node: many round trips within a region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Bound on the time to open a connection to another node. At a full link, packets wait for up to
+/// half a second in each direction, and an opening packet that is lost is sent again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Error of a call to another node.
 #[derive(Debug, Error)]
@@ -140,31 +141,77 @@
     }
 }
 
-/// Fetches the pass-through routes of a node. The document is empty unless its version is higher
-/// than `known`. Each call opens a connection of its own: calls are rare, and an old connection may
-/// have broken without notice.
-///
-/// # Errors
-///
-/// See [`NodeError`].
-pub async fn fetch_plan(
-    to: SocketAddr,
-    known: u64,
-    timeout: Duration,
-) -> Result<PublishedPlan, NodeError> {
-    let request = proto::PlanRequest {
-        version: known,
-        deflate: true,
-    };
-    let reply = call(to, timeout, async |mut node| node.held(request).await).await?;
-    document::read_reply(reply).map_err(|source| NodeError::Unreadable {
-        address: to,
-        source,
-    })
+/// gRPC client of the `Node` service.
+type Client = NodeClient<Channel>;
+
+/// An open connection to a node, for one call: calls are rare, and an old connection may have broken
+/// without notice.
+#[derive(Debug)]
+pub struct NodeConnection {
+    address: SocketAddr,
+    client: Client,
+    /// How long it took to open.
+    pub delay: Duration,
+}
+
+impl NodeConnection {
+    /// Opens a connection to a node.
+    ///
+    /// # Errors
+    ///
+    /// [`NodeError::ConnectTimedOut`] and [`NodeError::Unreachable`].
+    pub async fn open(address: SocketAddr) -> Result<Self, NodeError> {
+        let start = Instant::now();
+        let connecting = timeout_at(start + CONNECT_TIMEOUT, connect(address)).await;
+        let channel = connecting.unwrap_or(Err(NodeError::ConnectTimedOut(address)))?;
+        Ok(Self {
+            address,
+            client: NodeClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES),
+            delay: start.elapsed(),
+        })
+    }
+
+    /// Fetches the pass-through routes of the node. The document is empty unless its version is
+    /// higher than `known`.
+    ///
+    /// # Errors
+    ///
+    /// See [`NodeError`].
+    pub async fn fetch_plan(
+        self,
+        known: u64,
+        timeout: Duration,
+    ) -> Result<PublishedPlan, NodeError> {
+        let address = self.address;
+        let request = proto::PlanRequest {
+            version: known,
+            deflate: true,
+        };
+        let deadline = Instant::now() + timeout;
+        let reply = self.call(deadline, async |mut node| node.held(request).await);
+        document::read_reply(reply.await?)
+            .map_err(|source| NodeError::Unreadable { address, source })
+    }
+
+    /// Makes one call.
+    async fn call<T>(
+        self,
+        deadline: Instant,
+        send: impl AsyncFnOnce(Client) -> Result<Response<T>, Status>,
+    ) -> Result<T, NodeError> {
+        let address = self.address;
+        let answer = timeout_at(deadline, send(self.client)).await;
+        let answer = answer.map_err(|_| NodeError::TimedOut(address))?;
+        let refused = |source| NodeError::Refused {
+            address,
+            source: Box::new(source),
+        };
+        Ok(answer.map_err(refused)?.into_inner())
+    }
 }
 
 /// Borrows tokens from the allotment of a node. If the answer is lost, the tokens are lost as well,
-/// but never spent twice.
+/// but never spent twice. `timeout` bounds the connection and the call together.
 ///
 /// # Errors
 ///
@@ -181,36 +228,20 @@
         least: min.0,
         most: max.0,
     };
-    let reply = call(to, timeout, async |mut node| node.lend(request).await).await?;
-    Ok(Tokens(reply.amount.min(max.0)))
-}
-
-/// gRPC client of the `Node` service.
-type Client = NodeClient<Channel>;
-
-/// Opens a connection and makes one call over it. `timeout` bounds both.
-async fn call<T>(
-    address: SocketAddr,
-    timeout: Duration,
-    send: impl AsyncFnOnce(Client) -> Result<Response<T>, Status>,
-) -> Result<T, NodeError> {
     let deadline = Instant::now() + timeout;
-    let connecting = timeout_at(deadline, connect(address)).await;
-    let channel = connecting.unwrap_or(Err(NodeError::ConnectTimedOut(address)))?;
-    let client = NodeClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
-    let answer = timeout_at(deadline, send(client)).await;
-    let answer = answer.map_err(|_| NodeError::TimedOut(address))?;
-    let refused = |source| NodeError::Refused {
-        address,
-        source: Box::new(source),
-    };
-    Ok(answer.map_err(refused)?.into_inner())
+    let opening = timeout_at(deadline, NodeConnection::open(to)).await;
+    let connection = opening.unwrap_or(Err(NodeError::ConnectTimedOut(to)))?;
+    let reply = connection.call(deadline, async |mut node| node.lend(request).await);
+    Ok(Tokens(reply.await?.amount.min(max.0)))
 }
 
-/// Opens a connection to a node.
+/// Opens a channel to a node.
 async fn connect(address: SocketAddr) -> Result<Channel, NodeError> {
     let unreachable = |source| NodeError::Unreachable { address, source };
     let endpoint = Endpoint::from_shared(format!("http://{address}")).map_err(unreachable)?;
-    let endpoint = endpoint.connect_timeout(CONNECT_TIMEOUT).tcp_nodelay(true);
-    endpoint.connect().await.map_err(unreachable)
+    endpoint
+        .tcp_nodelay(true)
+        .connect()
+        .await
+        .map_err(unreachable)
 }
--- a/crates/fleet/tests/documents.rs
+++ b/crates/fleet/tests/documents.rs
@@ -8,8 +8,8 @@
 
 use chestnutnotch::edges::rpc::document::DocumentCache;
 use chestnutnotch::edges::rpc::document::read_reply;
-use chestnutnotch::edges::rpc::node;
 use chestnutnotch::edges::rpc::node::NoLender;
+use chestnutnotch::edges::rpc::node::NodeConnection;
 use chestnutnotch::edges::rpc::node::NodeService;
 use chestnutnotch_core::route::PublishedPlan;
 use chestnutnotch_wire::proto;
@@ -19,6 +19,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio_stream::wrappers::TcpListenerStream;
@@ -68,6 +69,12 @@
     address
 }
 
+/// Fetches the routes of a node, with a document if they are newer than `known`.
+async fn fetch(address: SocketAddr, known: u64) -> PublishedPlan {
+    let connection = NodeConnection::open(address).await.unwrap();
+    connection.fetch_plan(known, TIMEOUT).await.unwrap()
+}
+
 /// Forwards one connection to `target`; of the answer only the first `bytes`, after which it is
 /// silent.
 async fn narrow_link(target: SocketAddr, bytes: usize) -> SocketAddr {
@@ -99,14 +106,52 @@
     let plan = large_plan();
     assert!(plan.source.len() > 2 * LINK_BYTES, "{}", plan.source.len());
     let link = narrow_link(serve(plan.clone()).await, LINK_BYTES).await;
-    let fetched = node::fetch_plan(link, 3, TIMEOUT).await.unwrap();
+    let fetched = fetch(link, 3).await;
+    assert!(fetched == plan);
+}
+
+/// Connections that fill the queue of a listener with a backlog of 1.
+const QUEUED_CONNECTIONS: usize = 2;
+
+/// Serves a plan on an address that drops the first opening packet of a new connection; the next
+/// one is sent a second later.
+async fn serve_behind_full_queue(plan: PublishedPlan) -> SocketAddr {
+    let target = serve(plan).await;
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut queued = Vec::new();
+    for _ in 0..QUEUED_CONNECTIONS {
+        queued.push(TcpStream::connect(address).await.unwrap());
+    }
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        while let Ok((mut client, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut server = TcpStream::connect(target).await.unwrap();
+                // Either end may close first.
+                let _ = tokio::io::copy_bidirectional(&mut client, &mut server).await;
+            });
+        }
+        drop(queued);
+    });
+    address
+}
+
+// A router whose connections took more than a quarter of a second to open kept its old routes.
+#[tokio::test]
+async fn routes_stay_old_while_connections_open_slowly() {
+    let plan = large_plan();
+    let address = serve_behind_full_queue(plan.clone()).await;
+    let fetched = fetch(address, 3).await;
     assert!(fetched == plan);
 }
 
 #[tokio::test]
 async fn routes_that_are_not_newer_are_left_out() {
     let address = serve(large_plan()).await;
-    let fetched = node::fetch_plan(address, 16, TIMEOUT).await.unwrap();
+    let fetched = fetch(address, 16).await;
     assert_eq!((fetched.version, fetched.source.len()), (16, 0));
 }
 
