Test: documents that together are larger than the disks of the replicas

DiskFaults gets the size of a disk, whose room files take until they are removed.

All four fail on this code: no change is accepted once the disks are full.

--- a/crates/fleet/src/edges/disk/file.rs
+++ b/crates/fleet/src/edges/disk/file.rs
@@ -34,8 +34,9 @@
     bytes: &[u8],
     faults: &DiskFaults,
 ) -> Result<(), DiskError> {
+    let folder = path.parent().unwrap_or(path);
     faults
-        .write_all(file, bytes)
+        .write_all(folder, file, bytes)
         .and_then(|()| file.sync_data())
         .map_err(|e| DiskError::from_io(path, e))
 }
--- a/crates/fleet/src/edges/disk/spool.rs
+++ b/crates/fleet/src/edges/disk/spool.rs
@@ -216,7 +216,7 @@
     fn write_and_sync(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.cut_torn()?;
         self.torn = true;
-        self.faults.write_all(&mut self.file, bytes)?;
+        self.faults.write_all(&self.folder, &mut self.file, bytes)?;
         self.file.sync_data()?;
         self.torn = false;
         self.end += bytes.len() as u64;
@@ -271,7 +271,7 @@
     faults: &DiskFaults,
 ) -> io::Result<()> {
     let mut file = File::create(temp)?;
-    faults.write_all(&mut file, bytes)?;
+    faults.write_all(folder, &mut file, bytes)?;
     file.sync_all()?;
     std::fs::rename(temp, path)?;
     File::open(folder)?.sync_all()
--- /dev/null
+++ b/crates/fleet/tests/full_logs.rs
@@ -0,0 +1,97 @@
+//! Documents that together are larger than the disks of the replicas: the group goes on, and comes back
+//! after its replicas have stopped.
+#![allow(clippy::panic, clippy::unwrap_used)]
+
+mod replica_support;
+
+use chestnutnotch_core::command::Command;
+use chestnutnotch_core::route::Adopt;
+
+use replica_support::Group;
+
+/// Size of each document, in bytes.
+const DOCUMENT_BYTES: usize = 300 << 10;
+
+/// Size of each disk, in bytes.
+const DISK_BYTES: u64 = 64 << 20;
+
+/// Entries between two snapshots. No test has as many.
+const SNAPSHOT_ENTRIES: u64 = 10_000;
+
+fn adopt(version: u64) -> Command {
+    Command::Adopt(Adopt {
+        version,
+        source: vec![version as u8; DOCUMENT_BYTES].into(),
+        prepaid: Vec::new(),
+    })
+}
+
+async fn start(count: usize) -> Group {
+    let group = Group::start(count, SNAPSHOT_ENTRIES).await;
+    for disk in &group.disks {
+        disk.set_capacity(DISK_BYTES);
+    }
+    group
+}
+
+/// Submits documents until a change of each has been acknowledged.
+async fn adopt_all(group: &Group, versions: std::ops::Range<u64>) {
+    let all = group.running();
+    for version in versions {
+        group.submit(&all, &adopt(version)).await;
+    }
+}
+
+/// Checks that the group reads back the newest document.
+async fn check_newest(group: &Group, version: u64) {
+    let leader = group.leader(&group.running()).await;
+    let plan = group
+        .handle(leader)
+        .read(|machine| machine.plan().clone())
+        .await
+        .unwrap();
+    assert_eq!(plan.version, version);
+    assert_eq!(plan.source.len(), DOCUMENT_BYTES);
+}
+
+/// Documents of twice the size of a disk.
+const VERSIONS: u64 = 2 * DISK_BYTES / DOCUMENT_BYTES as u64;
+
+macro_rules! documents_outgrow_the_disks {
+    ($($name:ident: $count:literal)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+        async fn $name() {
+            let group = start($count).await;
+            adopt_all(&group, 1..VERSIONS).await;
+            check_newest(&group, VERSIONS - 1).await;
+        }
+    )*};
+}
+
+documents_outgrow_the_disks! {
+    three_replicas_take_documents_of_twice_the_size_of_a_disk: 3
+    four_replicas_take_documents_of_twice_the_size_of_a_disk: 4
+    five_replicas_take_documents_of_twice_the_size_of_a_disk: 5
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn replicas_come_back_in_turn_and_all_at_once_after_many_documents() {
+    let mut group = start(4).await;
+    let mut next = 1;
+    for at in 0..4 {
+        adopt_all(&group, next..next + VERSIONS / 4).await;
+        next += VERSIONS / 4;
+        group.stop(at).await;
+        adopt_all(&group, next..next + 40).await;
+        next += 40;
+        group.restart(at).await;
+    }
+    for at in 0..4 {
+        group.stop(at).await;
+    }
+    for at in 0..4 {
+        group.restart(at).await;
+    }
+    check_newest(&group, next - 1).await;
+    adopt_all(&group, next..next + 5).await;
+}
