Compact the replicated log by its size

Operators got 503 for want of a quorum, and the configuration could not be read back, from the moment at which the logs of all control replicas filled their disks. Each change is a log entry with the whole document (some 300 KB with 1,400 routes), and the log was compacted after 10,000 entries, however large: 64 MB hold some 220 such changes. A replica without room takes no write and a leader without room falls silent, so that nobody leads any more.

Removals are durable one after another. - A folder is read one frame at a time: a start does not hold a file and its entries at once any more. - A resent document that cannot come into force any more is proposed without its content.

--- a/crates/core/src/replica/log.rs
+++ b/crates/core/src/replica/log.rs
@@ -69,6 +69,8 @@
     base: Position,
     /// Consecutive entries after `base`.
     entries: Vec<Entry>,
+    /// Total size of their commands, in bytes.
+    size: usize,
     /// The latest snapshot. It contains all entries up to `base`, and perhaps some of `entries`.
     snapshot: Arc<Snapshot>,
     /// Membership as of the last entry.
@@ -88,6 +90,7 @@
         let mut log = Self {
             base: snapshot.at,
             entries: Vec::new(),
+            size: 0,
             members: snapshot.members.clone(),
             members_index: snapshot.at.index,
             snapshot,
@@ -119,6 +122,11 @@
         self.base
     }
 
+    /// Returns the total size of the commands in the log, in bytes.
+    pub fn size(&self) -> usize {
+        self.size
+    }
+
     /// Returns the latest snapshot.
     pub fn snapshot(&self) -> &Arc<Snapshot> {
         &self.snapshot
@@ -168,6 +176,18 @@
         &rest[..count.max(1).min(rest.len())]
     }
 
+    /// Returns how many of the entries that end with `until` have no more commands than `max_bytes`.
+    pub fn count_back(&self, until: Index, max_bytes: usize) -> u64 {
+        let count = self.offset(until.next()).unwrap_or(0);
+        let kept = &self.entries[..count.min(self.entries.len())];
+        let mut size = 0;
+        let fits = |entry: &&Entry| {
+            size += entry.payload.size();
+            size <= max_bytes
+        };
+        kept.iter().rev().take_while(fits).count() as u64
+    }
+
     /// Returns the last position with at most this index and at most this term, or `None` if it was
     /// compacted away.
     pub fn last_at_most(&self, index: Index, term: Term) -> Option<Position> {
@@ -185,6 +205,7 @@
             self.members = members.clone();
             self.members_index = entry.at.index;
         }
+        self.size += entry.payload.size();
         self.entries.push(entry);
     }
 
@@ -193,6 +214,8 @@
         let Some(kept) = self.offset(from) else {
             return;
         };
+        let removed = self.entries.iter().skip(kept);
+        self.size -= removed.map(|entry| entry.payload.size()).sum::<usize>();
         self.entries.truncate(kept);
         if self.members_index >= from {
             self.reload_members();
@@ -205,7 +228,8 @@
         let until = snapshot.at.index.saturating_sub(Index(keep));
         if let Some(term) = self.term(until).filter(|_| until > self.base.index) {
             let count = (until.0 - self.base.index.0) as usize;
-            self.entries.drain(..count);
+            let removed = self.entries.drain(..count);
+            self.size -= removed.map(|entry| entry.payload.size()).sum::<usize>();
             self.base = Position { term, index: until };
         }
         self.snapshot = snapshot;
@@ -219,6 +243,7 @@
             return;
         }
         self.entries.clear();
+        self.size = 0;
         self.base = snapshot.at;
         self.members = snapshot.members.clone();
         self.members_index = snapshot.at.index;
--- a/crates/fleet/src/controllers/replica/actor.rs
+++ b/crates/fleet/src/controllers/replica/actor.rs
@@ -2,6 +2,7 @@
 //! encoding run on other threads, which report back with a message.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -110,14 +111,23 @@
     pub peers: Vec<SocketAddr>,
     /// Address of this replica.
     pub address: SocketAddr,
-    /// Number of log entries between two snapshots.
-    pub snapshot_interval: u64,
+    /// When the next snapshot is due.
+    pub snapshot_due: SnapshotDue,
     /// Clock.
     pub timer: Timer,
     /// Cuts connections between replicas in tests.
     pub switch: LinkFaults,
 }
 
+/// Limits of the log. A snapshot is due when the entries since the last one reach either of them.
+#[derive(Clone, Copy, Debug)]
+pub struct SnapshotDue {
+    /// Number of entries.
+    pub entries: u64,
+    /// Size of the commands, in bytes.
+    pub bytes: u64,
+}
+
 /// The replica's actor. Its state is in [`ReplicaState`].
 pub struct ReplicaActor;
 
@@ -138,7 +148,9 @@
     /// Publishes each new version of the pass-through routes.
     pub(super) plan_tx: watch::Sender<PublishedPlan>,
     /// Commands to propose in the next batch.
-    pub(super) queue: Vec<(Proposal, OwnedSemaphorePermit)>,
+    pub(super) queue: Queue,
+    /// Whether queued commands wait until the log is compacted.
+    pub(super) held: bool,
     /// Commands in the log, by index, whose callers wait for the outcome.
     pub(super) proposed: BTreeMap<Index, Proposed>,
     /// Reads that await confirmation by a quorum, by read number.
@@ -165,8 +177,10 @@
     pub(super) peers: Vec<SocketAddr>,
     /// Address of this replica.
     pub(super) address: SocketAddr,
-    /// Number of log entries between two snapshots.
-    pub(super) snapshot_interval: u64,
+    /// When the next snapshot is due.
+    pub(super) snapshot_due: SnapshotDue,
+    /// Size of the commands applied since the last snapshot was begun, in bytes.
+    pub(super) applied_bytes: u64,
     /// Whether a snapshot is being encoded.
     pub(super) encoding: bool,
     /// Set by a planned stop: when to stop waiting for a successor and for pending commands, on the
@@ -178,6 +192,39 @@
     pub(super) timer: Timer,
 }
 
+/// Encoded commands that wait to be proposed.
+#[derive(Default)]
+pub(super) struct Queue {
+    /// The commands, oldest first.
+    pub(super) commands: VecDeque<QueuedCommand>,
+    /// Total size of the commands, in bytes.
+    pub(super) size: usize,
+}
+
+/// An encoded command that waits to be proposed.
+pub(super) struct QueuedCommand {
+    pub(super) bytes: Arc<[u8]>,
+    /// Receives the outcome.
+    pub(super) reply: oneshot::Sender<Result<Reply, ReplicaError>>,
+    /// Held until the command is answered, to limit pending commands.
+    pub(super) permit: OwnedSemaphorePermit,
+}
+
+impl Queue {
+    /// Adds a command.
+    pub(super) fn push(&mut self, command: QueuedCommand) {
+        self.size += command.bytes.len();
+        self.commands.push_back(command);
+    }
+
+    /// Takes the oldest command.
+    pub(super) fn pop(&mut self) -> Option<QueuedCommand> {
+        let command = self.commands.pop_front()?;
+        self.size -= command.bytes.len();
+        Some(command)
+    }
+}
+
 /// A command in the log whose caller waits for the outcome.
 pub(super) struct Proposed {
     /// Term in which it was proposed. If the entry applied at its index has another term, the
@@ -241,7 +288,8 @@
             plan_tx: arguments.plan_tx,
             discovery: arguments.discovery,
             configured: arguments.peers.clone(),
-            queue: Vec::new(),
+            queue: Queue::default(),
+            held: false,
             proposed: BTreeMap::new(),
             reads: Map::default(),
             confirmed: BTreeMap::new(),
@@ -255,7 +303,8 @@
             },
             peers: arguments.peers,
             address: arguments.address,
-            snapshot_interval: arguments.snapshot_interval.max(1),
+            snapshot_due: arguments.snapshot_due,
+            applied_bytes: 0,
             encoding: false,
             stop_deadline: None,
             stopped: false,
--- a/crates/fleet/src/controllers/replica/carry.rs
+++ b/crates/fleet/src/controllers/replica/carry.rs
@@ -19,8 +19,8 @@
 use crate::edges::disk::DiskError;
 use crate::edges::rpc::peer::Envelope;
 
-/// The log keeps the snapshot interval divided by this as entries before a snapshot, for followers
-/// that lag slightly.
+/// The log keeps entries before a snapshot for followers that lag slightly: the limits after which a
+/// snapshot is due, divided by this.
 const KEPT_ENTRIES_DIVISOR: u64 = 4;
 
 impl ReplicaState {
@@ -113,6 +113,7 @@
                 return;
             };
             let term = entry.at.term;
+            self.applied_bytes += entry.payload.size() as u64;
             let reply = match self.applied.apply(entry) {
                 Ok(reply) => reply,
                 Err(error) => return self.fail(&error),
@@ -131,7 +132,10 @@
     /// Replaces the state machine with the one in a snapshot.
     pub(super) fn restore(&mut self, snapshot: &Snapshot) {
         match Applied::restore(snapshot) {
-            Ok(applied) => self.applied = applied,
+            Ok(applied) => {
+                self.applied = applied;
+                self.applied_bytes = 0;
+            }
             Err(error) => return self.fail(&error),
         }
         self.publish_changes();
@@ -189,13 +193,24 @@
         }
     }
 
-    /// Starts to encode a snapshot when enough entries were applied since the last one.
+    /// Returns the size of applied commands after which a snapshot is due, in bytes. The log may grow to
+    /// the size of the state, so that snapshots at most double what is written.
+    pub(super) fn snapshot_bytes(&self) -> u64 {
+        let state = self.replica.node().log().snapshot().data.len();
+        self.snapshot_due.bytes.max(state as u64)
+    }
+
+    /// Starts to encode a snapshot when enough was applied since the last one.
     pub(super) fn snapshot(&mut self) {
         let last = self.replica.node().log().snapshot().at.index;
         let index = self.applied.index;
-        if self.encoding || index.saturating_sub(last).0 < self.snapshot_interval {
+        let entries = index.saturating_sub(last).0;
+        let is_due =
+            entries >= self.snapshot_due.entries || self.applied_bytes >= self.snapshot_bytes();
+        if self.encoding || !is_due || entries == 0 {
             return;
         }
+        self.applied_bytes = 0;
         self.encoding = true;
         let applied = self.applied.clone();
         let myself = self.myself.clone();
@@ -212,11 +227,13 @@
     ) {
         self.encoding = false;
         match result {
-            Ok(data) => self.step(Input::Compact {
-                index,
-                data,
-                keep: self.snapshot_interval / KEPT_ENTRIES_DIVISOR,
-            }),
+            Ok(data) => {
+                let due = self.snapshot_due;
+                let kept_bytes = (due.bytes / KEPT_ENTRIES_DIVISOR) as usize;
+                let kept = self.replica.node().log().count_back(index, kept_bytes);
+                let keep = kept.min(due.entries / KEPT_ENTRIES_DIVISOR);
+                self.step(Input::Compact { index, data, keep });
+            }
             Err(error) => self.fail(&error),
         }
     }
--- a/crates/fleet/src/controllers/replica/serve.rs
+++ b/crates/fleet/src/controllers/replica/serve.rs
@@ -7,11 +7,13 @@
 use chestnutnotch_core::command::Stamped;
 use chestnutnotch_core::id::Operator;
 use chestnutnotch_core::replica::Input;
+use chestnutnotch_core::route::Adopt;
 use tokio::sync::OwnedSemaphorePermit;
 
 use super::actor::Proposal;
 use super::actor::Proposed;
 use super::actor::Query;
+use super::actor::QueuedCommand;
 use super::actor::ReplicaState;
 use super::error::ReplicaError;
 use super::handle::ReplicaStatus;
@@ -19,17 +21,37 @@
 /// Largest number of commands proposed together.
 const MAX_BATCH_COMMANDS: usize = 1_024;
 
-/// Largest size of an encoded command.
+/// Largest size of an encoded command, and of all commands that wait to be proposed.
 const MAX_COMMAND_BYTES: usize = 16 << 20;
 
+/// The log of a leader holds at most this many times the bytes after which a snapshot is due. Beyond
+/// that, commands wait for a snapshot, or for the quorum without which there is none.
+const MAX_LOG_FACTOR: u64 = 4;
+
 impl ReplicaState {
     /// Queues a command for the next batch, or refuses it.
     pub(super) fn submit(&mut self, proposal: Proposal, permit: OwnedSemaphorePermit) {
-        match self.refusal() {
-            Some(error) => {
+        if let Some(error) = self.refusal() {
+            let _ = proposal.reply.send(Err(error));
+            return;
+        }
+        let command = self.without_stale_source(proposal.command);
+        let encoded = self.encode(proposal.operator, command);
+        let bytes = encoded.and_then(|bytes| match self.queue.size + bytes.len() {
+            size if size > MAX_COMMAND_BYTES && !self.queue.commands.is_empty() => {
+                Err(ReplicaError::Busy)
+            }
+            _ => Ok(bytes),
+        });
+        match bytes {
+            Ok(bytes) => self.queue.push(QueuedCommand {
+                bytes,
+                reply: proposal.reply,
+                permit,
+            }),
+            Err(error) => {
                 let _ = proposal.reply.send(Err(error));
             }
-            None => self.queue.push((proposal, permit)),
         }
     }
 
@@ -63,10 +85,7 @@
     /// another replica leads.
     pub(super) fn on_disk_full(&mut self) {
         self.disk_full = true;
-        for (proposal, _) in std::mem::take(&mut self.queue) {
-            let error = ReplicaError::NotLeader { leader: None };
-            let _ = proposal.reply.send(Err(error));
-        }
+        self.refuse_queued(None);
     }
 
     /// Returns the address of the leader, if known: the one in the membership, or else the one at
@@ -112,42 +131,67 @@
         for (_, proposed) in std::mem::take(&mut self.proposed) {
             let _ = proposed.reply.send(Err(ReplicaError::NoQuorum));
         }
-        let leader = self.leader();
-        for (proposal, _) in std::mem::take(&mut self.queue) {
-            let _ = proposal.reply.send(Err(ReplicaError::NotLeader { leader }));
+        self.refuse_queued(self.leader());
+    }
+
+    /// Refuses the queued commands and names the leader, if it is known.
+    fn refuse_queued(&mut self, leader: Option<SocketAddr>) {
+        while let Some(queued) = self.queue.pop() {
+            let _ = queued.reply.send(Err(ReplicaError::NotLeader { leader }));
         }
     }
 
     /// Proposes the commands that were queued while the last batch was written to disk.
     pub(super) fn propose(&mut self) {
-        if self.queue.is_empty() || self.writer.busy() || !self.replica.node().leads() {
+        let node = self.replica.node();
+        if self.queue.commands.is_empty() || self.writer.busy() || !node.leads() {
             return;
         }
-        let count = self.queue.len().min(MAX_BATCH_COMMANDS);
-        let batch: Vec<_> = self.queue.drain(..count).collect();
-        let mut commands = Vec::with_capacity(batch.len());
-        let term = self.replica.node().term();
-        let mut index = self.replica.node().log().last().index;
-        for (proposal, permit) in batch {
-            match self.encode(proposal.operator, proposal.command) {
-                Ok(bytes) => {
-                    index = index.next();
-                    let proposed = Proposed {
-                        term,
-                        reply: proposal.reply,
-                        _permit: permit,
-                    };
-                    self.proposed.insert(index, proposed);
-                    commands.push(bytes);
-                }
-                Err(error) => {
-                    let _ = proposal.reply.send(Err(error));
-                }
+        let is_held = node.log().size() as u64 >= MAX_LOG_FACTOR * self.snapshot_bytes();
+        if is_held != self.held {
+            self.held = is_held;
+            let size = node.log().size();
+            match is_held {
+                true => log::warn!("commands wait until the log of {size} bytes is compacted"),
+                false => log::info!("commands go on with a log of {size} bytes"),
             }
         }
+        if is_held {
+            return;
+        }
+        let term = node.term();
+        let mut index = node.log().last().index;
+        let mut commands = Vec::new();
+        while commands.len() < MAX_BATCH_COMMANDS
+            && let Some(queued) = self.queue.pop()
+        {
+            index = index.next();
+            let proposed = Proposed {
+                term,
+                reply: queued.reply,
+                _permit: queued.permit,
+            };
+            self.proposed.insert(index, proposed);
+            commands.push(queued.bytes);
+        }
         self.step(Input::Propose(commands));
     }
 
+    /// Drops the document of routes that cannot come into force any more, since a version that is not
+    /// lower has been applied. Resent documents would fill the log otherwise.
+    fn without_stale_source(&self, command: Command) -> Command {
+        match command {
+            Command::Adopt(adopt) if adopt.version <= self.applied.machine.plan().version => {
+                Command::Adopt(Adopt {
+                    version: adopt.version,
+                    source: Arc::default(),
+                    prepaid: Vec::new(),
+                })
+            }
+            command => command,
+        }
+    }
+
     /// Encodes a command with its operator and timestamp.
     pub(super) fn encode(
         &mut self,
--- a/crates/fleet/src/controllers/replica/start.rs
+++ b/crates/fleet/src/controllers/replica/start.rs
@@ -22,6 +22,7 @@
 use super::actor::Arguments;
 use super::actor::ReplicaActor;
 use super::actor::ReplicaMessage;
+use super::actor::SnapshotDue;
 use super::apply::Applied;
 use super::error::StartError;
 use super::handle::ReplicaHandle;
@@ -98,7 +99,10 @@
         discovery: settings.discovery,
         peers: peers.to_vec(),
         address: settings.listen,
-        snapshot_interval: settings.snapshot,
+        snapshot_due: SnapshotDue {
+            entries: settings.snapshot.max(1),
+            bytes: settings.snapshot_bytes.max(1),
+        },
         timer: timer.clone(),
         switch,
     };
--- a/crates/fleet/src/edges/disk/file.rs
+++ b/crates/fleet/src/edges/disk/file.rs
@@ -9,6 +9,7 @@
 use super::faults::DiskFaults;
 use super::frame;
 use super::frame::FrameError;
+use super::frame::ReadError;
 
 /// Writes a file with one frame atomically: a crash leaves either the old file or the new one.
 /// Writes a temporary file, syncs it and renames it.
@@ -82,6 +83,14 @@
     }
 }
 
+/// Adds the path of the file to an error of reading its frames.
+pub fn read_error(path: &Path, error: ReadError) -> DiskError {
+    match error {
+        ReadError::Frame(error) => at_path(path, error),
+        ReadError::Io(error) => DiskError::from_io(path, error),
+    }
+}
+
 /// Returns the error for a file that is damaged at an offset, in bytes.
 pub fn corrupt(path: &Path, offset: usize) -> DiskError {
     at_path(path, FrameError::Corrupt(offset))
--- a/crates/fleet/src/edges/disk/folder.rs
+++ b/crates/fleet/src/edges/disk/folder.rs
@@ -4,6 +4,8 @@
 use std::fs::File;
 use std::fs::OpenOptions;
 use std::fs::TryLockError;
+use std::io;
+use std::io::BufReader;
 use std::io::Seek;
 use std::io::SeekFrom;
 use std::path::Path;
@@ -32,6 +34,10 @@
 /// Name of the file that a process locks while it uses the folder.
 const LOCK_FILE: &str = "lock";
 
+/// Size, in bytes, after which a segment is closed and the next one begins. A segment is removed as a
+/// whole, so up to this much of the log stays on disk although a snapshot contains it.
+const SEGMENT_BYTES: u64 = 1 << 20;
+
 /// An open data folder, locked against other processes. Its methods block.
 #[derive(Debug)]
 pub struct Folder {
@@ -43,6 +49,8 @@
     term: Term,
     /// Vote in that term.
     vote: Option<ReplicaId>,
+    /// Last entry in the snapshot on disk, or `None` if there is none.
+    snapshot: Option<Index>,
     /// Complete segments that have not been removed yet, in order.
     closed: Vec<ClosedSegment>,
     /// The segment being written.
@@ -169,6 +177,9 @@
         if records.is_empty() {
             return Ok(());
         }
+        if self.active.end >= SEGMENT_BYTES {
+            self.begin_segment(false)?;
+        }
         let path = &self.active.path;
         let bytes = file::encode(path, &encode(path, records)?)?;
         file::append_and_sync(&mut self.active.file, path, &bytes, &self.faults)?;
@@ -186,31 +197,49 @@
     fn write_snapshot(&mut self, snapshot: &Snapshot, reset: bool) -> Result<(), DiskError> {
         let payload = encode(&self.path, snapshot)?;
         file::write_atomically(&self.path, snapshot::FILE_NAME, &payload, &self.faults)?;
+        self.snapshot = Some(snapshot.at.index);
+        self.begin_segment(reset)?;
+        match reset {
+            true => self.remove_closed(self.closed.len()),
+            false => self.remove_covered(),
+        }
+    }
+
+    /// Removes the closed segments whose entries the snapshot contains.
+    fn remove_covered(&mut self) -> Result<(), DiskError> {
+        let Some(snapshot) = self.snapshot else {
+            return Ok(());
+        };
+        let covered = |closed: &&ClosedSegment| closed.last <= snapshot;
+        self.remove_closed(self.closed.iter().take_while(covered).count())
+    }
+
+    /// Closes the current segment and starts the next one. If `reset` is set, the snapshot replaces all
+    /// entries written so far.
+    fn begin_segment(&mut self, reset: bool) -> Result<(), DiskError> {
         let start = Start {
             replica: self.id,
             number: self.active.number + 1,
             reset,
-            snapshot: Some(snapshot.at.index),
+            snapshot: self.snapshot,
             term: self.term,
             vote: self.vote,
         };
-        let old = std::mem::replace(
-            &mut self.active,
-            ActiveSegment::create_file(&self.path, start, &self.faults)?,
-        );
+        let next = ActiveSegment::create_file(&self.path, start, &self.faults)?;
+        let old = std::mem::replace(&mut self.active, next);
         self.closed.push(ClosedSegment {
             number: old.number,
             last: old.last,
         });
-        file::sync_folder(&self.path)?;
-        let needed = |closed: &ClosedSegment| !reset && closed.last > snapshot.at.index;
-        let count = self
-            .closed
-            .iter()
-            .take_while(|closed| !needed(closed))
-            .count();
+        Ok(())
+    }
+
+    /// Removes the oldest closed segments. Each removal is durable before the next one, as a missing
+    /// segment between others is an error when the folder is opened.
+    fn remove_closed(&mut self, count: usize) -> Result<(), DiskError> {
         for closed in self.closed.drain(..count) {
             file::remove_if_exists(&self.path.join(segment::file_name(closed.number)))?;
+            file::sync_folder(&self.path)?;
         }
         Ok(())
     }
@@ -241,6 +270,7 @@
             id,
             term: Term::ZERO,
             vote: None,
+            snapshot: None,
             closed: Vec::new(),
             active,
             faults,
@@ -258,15 +288,18 @@
         faults: DiskFaults,
     ) -> Result<(Self, DurableState), DiskError> {
         let snapshot = load_snapshot(path)?;
-        let mut history = History::default();
         remove_unstarted(path, &mut segment_numbers)?;
+        let snapshot_index = snapshot.as_ref().map(|snapshot| snapshot.at.index);
+        // The entry at the end of the snapshot shows whether the log continues it.
+        let mut history = History::new(snapshot_index.unwrap_or_default());
         let (closed, active) = replay(path, id, &segment_numbers, &mut history)?;
         history.check(path, snapshot.as_ref())?;
-        let folder = Self {
+        let mut folder = Self {
             path: path.to_path_buf(),
             id,
             term: history.term,
             vote: history.vote,
+            snapshot: snapshot_index,
             closed,
             active,
             faults,
@@ -278,6 +311,8 @@
             snapshot: Arc::new(snapshot.unwrap_or_default()),
             entries: history.entries,
         };
+        // Left behind if the process ended while it removed them.
+        folder.remove_covered()?;
         Ok((folder, durable))
     }
 }
@@ -414,23 +449,27 @@
         }
         closed.push(ClosedSegment {
             number: *number,
-            last: history.replay(&path, segment)?,
+            last: segment.last,
         });
+        history.replay(&path, segment)?;
     }
     let path = folder.join(segment::file_name(*newest));
     let segment = load_segment(&path)?;
     check_segment(&path, &segment, id, *newest, true)?;
-    let end = segment.end;
-    let last = history.replay(&path, segment)?;
+    let (end, last) = (segment.end, segment.last);
+    history.replay(&path, segment)?;
     Ok((closed, ActiveSegment::reopen(path, *newest, last, end)?))
 }
 
 /// Reads a segment.
 fn load_segment(path: &Path) -> Result<Segment, DiskError> {
-    let bytes = file::read_if_exists(path)?.ok_or_else(|| DiskError::Missing {
-        path: path.to_path_buf(),
+    let file = File::open(path).map_err(|e| match e.kind() {
+        io::ErrorKind::NotFound => DiskError::Missing {
+            path: path.to_path_buf(),
+        },
+        _ => DiskError::from_io(path, e),
     })?;
-    segment::decode(&bytes).map_err(|e| file::at_path(path, e))
+    segment::read(BufReader::new(file)).map_err(|e| file::read_error(path, e))
 }
 
 /// Checks that a segment belongs to this replica, has the expected number and, unless it is the
--- a/crates/fleet/src/edges/disk/history.rs
+++ b/crates/fleet/src/edges/disk/history.rs
@@ -23,14 +23,23 @@
     pub vote: Option<ReplicaId>,
     /// Last entry in the snapshot that was written before the newest segment.
     snapshot: Option<Index>,
+    /// Index of the first entry that is kept.
+    from: Index,
     /// Log entries, in order.
     pub entries: Vec<Entry>,
 }
 
 impl History {
-    /// Applies a segment and returns the highest index in it, or zero if it contains no entries.
-    pub fn replay(&mut self, path: &Path, segment: Segment) -> Result<Index, DiskError> {
-        let mut highest = Index::ZERO;
+    /// Creates a history without the entries before an index.
+    pub fn new(from: Index) -> Self {
+        Self {
+            from,
+            ..Self::default()
+        }
+    }
+
+    /// Applies a segment.
+    pub fn replay(&mut self, path: &Path, segment: Segment) -> Result<(), DiskError> {
         if let Some(start) = segment.start {
             self.term = start.term;
             self.vote = start.vote;
@@ -40,7 +49,6 @@
             }
         }
         for record in segment.records {
-            highest = highest.max(last_index(&record).unwrap_or_default());
             match record {
                 Record::Vote { term, vote } => {
                     self.term = term;
@@ -50,7 +58,7 @@
                 Record::Start(_) => return Err(file::corrupt(path, 0)),
             }
         }
-        Ok(highest)
+        Ok(())
     }
 
     /// Checks that the snapshot on disk is at least as new as the log requires, and that no entries
@@ -85,7 +93,9 @@
         if !follows {
             return Err(file::corrupt(path, 0));
         }
-        self.entries.extend(entries);
+        let kept = entries.into_iter();
+        let kept = kept.filter(|entry| entry.at.index >= self.from);
+        self.entries.extend(kept);
         Ok(())
     }
 }
--- a/crates/fleet/src/edges/disk/segment.rs
+++ b/crates/fleet/src/edges/disk/segment.rs
@@ -1,5 +1,7 @@
 //! File format of the log segments.
 
+use std::io::Read;
+
 use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::replica::Entry;
 use chestnutnotch_core::unit::Index;
@@ -9,6 +11,7 @@
 
 use super::frame;
 use super::frame::FrameError;
+use super::frame::ReadError;
 
 /// A record in a segment. A frame contains the records of one sync. Records are stored in postcard,
 /// which encodes variants and fields by their position.
@@ -53,6 +56,8 @@
     pub start: Option<Start>,
     /// The records after the start record.
     pub records: Vec<Record>,
+    /// Highest index in the segment, or zero if it contains no entries.
+    pub last: Index,
     /// Length of all complete frames, in bytes.
     pub end: usize,
     /// Whether an incomplete frame follows the complete ones.
@@ -75,33 +80,41 @@
 ///
 /// # Errors
 ///
-/// [`FrameError::Corrupt`] if a frame is damaged, a record cannot be decoded, or the start record
-/// is not the first and only one.
-pub fn decode(bytes: &[u8]) -> Result<Segment, FrameError> {
-    let scan = frame::scan(bytes)?;
-    let mut segment = Segment {
-        end: scan.end,
-        torn: scan.torn,
-        ..Segment::default()
-    };
-    for range in scan.payloads {
-        let corrupt = FrameError::Corrupt(range.start.saturating_sub(frame::HEADER_BYTES));
-        let payload = bytes.get(range).unwrap_or_default();
-        let Ok((records, [])) = postcard::take_from_bytes::<Vec<Record>>(payload) else {
-            return Err(corrupt);
+/// [`ReadError::Io`], or [`FrameError::Corrupt`] if a frame is damaged, a record cannot be decoded, or
+/// the start record is not the first and only one.
+pub fn read(input: impl Read) -> Result<Segment, ReadError> {
+    let mut reader = frame::Reader::new(input);
+    let mut segment = Segment::default();
+    while let Some(payload) = reader.next_payload()? {
+        let corrupt = FrameError::Corrupt(segment.end);
+        let Ok((records, [])) = postcard::take_from_bytes::<Vec<Record>>(&payload) else {
+            return Err(corrupt.into());
         };
         for record in records {
             match (record, segment.start) {
                 (Record::Start(start), None) => segment.start = Some(start),
-                (Record::Start(_), Some(_)) | (_, None) => return Err(corrupt),
-                (record, Some(_)) if is_ordered(&record) => segment.records.push(record),
-                _ => return Err(corrupt),
+                (Record::Start(_), Some(_)) | (_, None) => return Err(corrupt.into()),
+                (record, Some(_)) if is_ordered(&record) => segment.push(record),
+                _ => return Err(corrupt.into()),
             }
         }
+        segment.end = reader.end();
     }
+    segment.torn = reader.is_torn();
     Ok(segment)
 }
 
+impl Segment {
+    /// Adds a record.
+    fn push(&mut self, record: Record) {
+        if let Record::Entries(entries) = &record {
+            let last = entries.last().map_or(Index::ZERO, |entry| entry.at.index);
+            self.last = self.last.max(last);
+        }
+        self.records.push(record);
+    }
+}
+
 /// Whether a record with entries has at least one and they are consecutive. Other records are valid.
 fn is_ordered(record: &Record) -> bool {
     let Record::Entries(entries) = record else {
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -52,6 +52,9 @@
     /// Number of log entries between two snapshots.
     #[serde(default = "snapshot")]
     pub snapshot: u64,
+    /// Size of the log entries between two snapshots, in bytes, if these come first.
+    #[serde(default = "snapshot_bytes")]
+    pub snapshot_bytes: u64,
     /// Automatic membership: replicas find each other by gossip and replace lost voters. Without
     /// it, the group has just the addresses in the settings.
     #[serde(default)]
@@ -191,9 +194,20 @@
             election: election(),
             heartbeat: heartbeat(),
             snapshot: snapshot(),
+            snapshot_bytes: snapshot_bytes(),
             discovery: None,
         }
     }
+
+    /// Lowers the size of the log to what the limits of a process bear, in bytes. Log, two snapshots and
+    /// what arrives while one is written share the disk; memory holds the log beside all else.
+    #[must_use]
+    pub fn within(mut self, disk: Option<usize>, memory: usize) -> Self {
+        let disk = disk.unwrap_or(usize::MAX) / DISK_LOG_DIVISOR;
+        let most = disk.min(memory / MEMORY_LOG_DIVISOR) as u64;
+        self.snapshot_bytes = self.snapshot_bytes.min(most).max(MIN_SNAPSHOT_BYTES);
+        self
+    }
 }
 
 impl DiscoverySettings {
@@ -232,6 +246,12 @@
 const QUICK_ELECTION_MILLIS: u64 = 500;
 const QUICK_HEARTBEAT_MILLIS: u64 = 125;
 const DEFAULT_SNAPSHOT_ENTRIES: u64 = 10_000;
+const DEFAULT_SNAPSHOT_BYTES: u64 = 8 << 20;
+/// Parts of the disk and of the memory that the log between two snapshots may take.
+const DISK_LOG_DIVISOR: usize = 16;
+const MEMORY_LOG_DIVISOR: usize = 32;
+/// With less, each change of a large set of routes would need a snapshot of its own.
+const MIN_SNAPSHOT_BYTES: u64 = 1 << 20;
 const DEFAULT_BODY_BYTES: usize = 4 << 20;
 const DEFAULT_RECORD_BYTES: usize = 64 << 10;
 const DEFAULT_DRAW_MILLIS: u64 = 200;
@@ -252,6 +272,10 @@
     DEFAULT_SNAPSHOT_ENTRIES
 }
 
+fn snapshot_bytes() -> u64 {
+    DEFAULT_SNAPSHOT_BYTES
+}
+
 fn body() -> usize {
     DEFAULT_BODY_BYTES
 }
--- a/crates/fleet/tests/disk.rs
+++ b/crates/fleet/tests/disk.rs
@@ -315,13 +315,13 @@
             let _ = frame::scan(bytes);
             let _ = identity::decode(bytes);
             let _ = snapshot::decode(bytes);
-            let _ = segment::decode(bytes);
+            let _ = segment::read(bytes.as_slice());
             let _ = Envelope::decode(bytes);
             // The same bytes in a frame with a valid checksum.
             let framed = frame::encode(bytes).unwrap();
             let _ = identity::decode(&framed);
             let _ = snapshot::decode(&framed);
-            let _ = segment::decode(&framed);
+            let _ = segment::read(framed.as_slice());
         });
 }
 
@@ -334,7 +334,7 @@
         vec![entries(2, 9..12)],
     ]);
     let original = fs::read(log_file(&folder)).unwrap();
-    let intact = segment::decode(&original).unwrap();
+    let intact = segment::read(original.as_slice()).unwrap();
     check!()
         .with_type::<(Vec<(u16, u8)>, u16)>()
         .with_iterations(20_000)
@@ -345,7 +345,7 @@
                 bytes[at] ^= value;
             }
             bytes.truncate(bytes.len().saturating_sub(usize::from(*cut) % 300));
-            if let Ok(read) = segment::decode(&bytes) {
+            if let Ok(read) = segment::read(bytes.as_slice()) {
                 assert!(intact.records.starts_with(&read.records));
             }
         });
--- a/crates/fleet/tests/replica_support/mod.rs
+++ b/crates/fleet/tests/replica_support/mod.rs
@@ -60,6 +60,8 @@
     pub replicas: Vec<Option<RunningReplica>>,
     /// Number of log entries between two snapshots.
     pub snapshot: u64,
+    /// Size of the log entries between two snapshots, in bytes.
+    pub snapshot_bytes: u64,
     /// Minimum election timeout, in milliseconds.
     pub election: u64,
     /// Relays between the replicas, by the position of the sender and that of the receiver; empty
@@ -137,6 +139,7 @@
             disks: Vec::new(),
             replicas: Vec::new(),
             snapshot,
+            snapshot_bytes: 8 << 20,
             election: 300,
             relays: Vec::new(),
         };
@@ -169,6 +172,7 @@
             heartbeat: 50,
             discovery: None,
             snapshot: self.snapshot,
+            snapshot_bytes: self.snapshot_bytes,
         };
         let timer = Timer::new();
         let mut peers = self.addresses.clone();
