Log and measure what a control host knows of its quorum

Every refused call of an outage had the same line, so that a disk without room, a group that changes its leader all the time and one without enough voters looked the same. The same figures are gauges.

--- a/crates/core/src/replica/node.rs
+++ b/crates/core/src/replica/node.rs
@@ -203,6 +203,16 @@
         self.log.members()
     }
 
+    /// Returns the members that a leader replicates to, with the last entry known to be durable on each.
+    /// Nothing on a node that does not lead.
+    pub fn progress(&self) -> Vec<(ReplicaId, Index)> {
+        let Role::Leader(leader) = &self.role else {
+            return Vec::new();
+        };
+        let peers = leader.peers.iter();
+        peers.map(|(id, peer)| (*id, peer.matched)).collect()
+    }
+
     /// Whether the node belongs to no group yet: it has no log entries and knows no members.
     pub fn is_blank(&self) -> bool {
         self.log.last().index == Index::ZERO && self.members().0.is_empty()
--- a/crates/fleet/src/controllers/mod.rs
+++ b/crates/fleet/src/controllers/mod.rs
@@ -11,6 +11,7 @@
 pub mod nodes;
 pub mod plan;
 pub mod replica;
+pub mod replica_status;
 pub mod run_delay;
 pub mod spool;
 pub mod spread;
--- a/crates/fleet/src/controllers/replica/actor.rs
+++ b/crates/fleet/src/controllers/replica/actor.rs
@@ -141,6 +141,8 @@
     pub(super) writer: Writer,
     /// Whether a batch of disk writes waits for room on the disk.
     pub(super) disk_full: bool,
+    /// Since when no leader is known, on the monotonic clock; `None` if one is known.
+    pub(super) leaderless: Option<Millis>,
     /// State machine, with the last entry applied to it.
     pub(super) applied: Applied,
     /// Publishes each new revision of the configuration.
@@ -282,6 +284,7 @@
             replica: arguments.replica,
             writer: Writer::new(arguments.folder),
             disk_full: false,
+            leaderless: Some(arguments.timer.now()),
             stamp: arguments.applied.stamp,
             applied: arguments.applied,
             accepted_tx: arguments.accepted_tx,
--- a/crates/fleet/src/controllers/replica/carry.rs
+++ b/crates/fleet/src/controllers/replica/carry.rs
@@ -73,6 +73,29 @@
             let change = if leads { "leads" } else { "no longer leads" };
             log::info!("replica {} {change} in term {}", node.id(), node.term());
         }
+        self.log_leader();
+    }
+
+    /// Logs when the leader is lost, and when one is known again.
+    fn log_leader(&mut self) {
+        let node = self.replica.node();
+        match (node.leader(), self.leaderless) {
+            (None, None) => {
+                log::warn!(
+                    "replica {} knows no leader in term {}",
+                    node.id(),
+                    node.term()
+                );
+                self.leaderless = Some(self.timer.now());
+            }
+            (Some(leader), Some(since)) => {
+                let elapsed = self.timer.now().saturating_sub(since);
+                let term = node.term();
+                log::info!(ms = elapsed.0; "replica {leader} leads in term {term}, after a time without a leader");
+                self.leaderless = None;
+            }
+            (None, Some(_)) | (Some(_), None) => {}
+        }
     }
 
     /// Sends a message. It is lost if the replica's address is not known or the connection is
--- a/crates/fleet/src/controllers/replica/handle.rs
+++ b/crates/fleet/src/controllers/replica/handle.rs
@@ -11,6 +11,7 @@
 use chestnutnotch_core::machine::Machine;
 use chestnutnotch_core::route::PublishedPlan;
 use chestnutnotch_core::unit::Index;
+use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::unit::Term;
 use ractor::ActorRef;
 use tokio::sync::OwnedSemaphorePermit;
@@ -40,6 +41,29 @@
     pub voters: Vec<ReplicaId>,
     /// Members without a vote in the committed membership.
     pub learners: Vec<ReplicaId>,
+    /// Size and state of the log.
+    pub log: LogStatus,
+    /// Time since this replica knew a leader; zero if it knows one.
+    pub leaderless: Millis,
+    /// Members that lack entries of this leader, with the number of entries.
+    pub behind: Vec<(ReplicaId, u64)>,
+}
+
+/// Size and state of a replica's log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LogStatus {
+    /// Index of the last entry.
+    pub last: Index,
+    /// Size of the commands in the log, in bytes.
+    pub bytes: usize,
+    /// Index of the last entry in the snapshot.
+    pub snapshot: Index,
+    /// Size of the snapshot, in bytes.
+    pub snapshot_bytes: usize,
+    /// Whether a write waits for room on the disk.
+    pub disk_full: bool,
+    /// Whether commands wait until the log is compacted.
+    pub held: bool,
 }
 
 /// A handle to the replica of this process. Cheap to clone.
--- a/crates/fleet/src/controllers/replica/serve.rs
+++ b/crates/fleet/src/controllers/replica/serve.rs
@@ -8,6 +8,7 @@
 use chestnutnotch_core::id::Operator;
 use chestnutnotch_core::replica::Input;
 use chestnutnotch_core::route::Adopt;
+use chestnutnotch_core::unit::Millis;
 use tokio::sync::OwnedSemaphorePermit;
 
 use super::actor::Proposal;
@@ -16,6 +17,7 @@
 use super::actor::QueuedCommand;
 use super::actor::ReplicaState;
 use super::error::ReplicaError;
+use super::handle::LogStatus;
 use super::handle::ReplicaStatus;
 
 /// Largest number of commands proposed together.
@@ -102,7 +104,12 @@
     /// Returns the status. Its membership is the committed one.
     pub(super) fn status(&self) -> ReplicaStatus {
         let node = self.replica.node();
-        let members = node.log().members_at(node.committed());
+        let log = node.log();
+        let members = log.members_at(node.committed());
+        let lacking = |(id, matched)| {
+            let count = log.last().index.saturating_sub(matched).0;
+            (count > 0).then_some((id, count))
+        };
         ReplicaStatus {
             id: node.id(),
             term: node.term(),
@@ -111,6 +118,19 @@
             applied: self.applied.index,
             voters: members.voters().collect(),
             learners: members.learners().collect(),
+            log: LogStatus {
+                last: log.last().index,
+                bytes: log.size(),
+                snapshot: log.snapshot().at.index,
+                snapshot_bytes: log.snapshot().data.len(),
+                disk_full: self.disk_full,
+                held: self.held,
+            },
+            leaderless: match self.leaderless {
+                Some(since) => self.timer.now().saturating_sub(since),
+                None => Millis::ZERO,
+            },
+            behind: node.progress().into_iter().filter_map(lacking).collect(),
         }
     }
 
--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -8,13 +8,14 @@
 //! of one request, and a [`refusal`] is an error answer of the router itself.
 //!
 //! [`process`] runs the router and control processes. [`registry`] is the HTTP interface of a
-//! control host for upstreams and operators, and [`status`] serves readiness and metrics.
+//! control host for upstreams and operators, whose log tells of an `outage` of the quorum, and [`status`] serves readiness and metrics.
 
 pub mod charge;
 pub mod exchange;
 pub mod front;
 pub mod job;
 pub mod loans;
+mod outage;
 pub mod process;
 pub mod refusal;
 pub mod registry;
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -36,6 +36,7 @@
 use crate::controllers::plan;
 use crate::controllers::plan::Routes;
 use crate::controllers::replica::ReplicaHandle;
+use crate::controllers::replica_status;
 use crate::controllers::run_delay;
 use crate::controllers::upstreams::Upstreams;
 use crate::dialect::Dialect;
@@ -53,6 +54,7 @@
 use crate::gateway::charge::AllotmentHandle;
 use crate::gateway::front::Gateway;
 use crate::gateway::front::RetryBudgets;
+use crate::gateway::outage::Outage;
 use crate::gateway::registry::Registry;
 use crate::gateway::route_times::RouteTimes;
 use crate::gateway::status::StatusHandler;
@@ -490,6 +492,7 @@
         dialect: Arc::clone(&dialect),
         nodes: base.nodes.clone(),
         control: base.control.clone(),
+        outage: Outage::new(timer.clone()),
     });
     let mut servers = vec![spawn_server(listener, registry).0];
     if let Some(address) = own.metrics {
@@ -498,13 +501,13 @@
         let status = Arc::new(StatusHandler {
             lifecycle,
             ready_path: dialect.ready_path(),
-            metrics,
+            metrics: Arc::clone(&metrics),
         });
         servers.push(spawn_server(bind(address).await?, status).0);
     }
     tokio::spawn(watch_seeds(reload, base.nodes.clone()));
     let outcome = match settings.replica.clone() {
-        Some(replica) => run_replica(own, replica, rpc, &base.nodes, timer, stop).await,
+        Some(replica) => run_replica(own, replica, rpc, &base.nodes, metrics, timer, stop).await,
         None => {
             stop.await;
             Ok(())
@@ -521,6 +524,7 @@
     replica: ReplicaSettings,
     rpc: TcpListener,
     nodes: &Nodes,
+    metrics: Arc<Metrics>,
     timer: Timer,
     stop: impl Future<Output = ()> + Send,
 ) -> Result<(), ServeError> {
@@ -533,7 +537,8 @@
     let control = Control::start(control_settings, rpc, timer.clone()).await?;
     let replica = control.replica();
     tokio::spawn(track_peers(nodes.clone(), replica.clone()));
-    tokio::spawn(log_balances(replica.clone(), timer));
+    tokio::spawn(log_balances(replica.clone(), timer.clone()));
+    tokio::spawn(replica_status::report(replica.clone(), metrics, timer));
     let client = control.client().clone();
     client.set_referral(Referral::Any);
     tokio::spawn(track_control(nodes.clone(), client, own.control.clone()));
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -33,6 +33,7 @@
 use crate::edges::http::server::Handler;
 use crate::edges::rpc::ControlClient;
 use crate::edges::rpc::ControlError;
+use crate::gateway::outage::Outage;
 
 /// Longest wait for the body of a call.
 const BODY_TIMEOUT: Duration = Duration::from_secs(3);
@@ -55,6 +56,8 @@
     pub nodes: Nodes,
     /// Client of the control replicas.
     pub control: ControlClient,
+    /// Time without a quorum, for the log.
+    pub(super) outage: Outage,
 }
 
 /// Why a call is refused.
@@ -141,7 +144,8 @@
                 self.publish(source).await
             }
             Operation::Read => {
-                let published = self.control.plan(0, QUORUM_TIMEOUT).await?;
+                let published = self.control.plan(0, QUORUM_TIMEOUT).await;
+                let published = self.outage.observe(published)?;
                 match published.version {
                     0 => Err(CallError::NoRoutes),
                     _ => Ok(Bytes::copy_from_slice(&published.source)),
@@ -163,7 +167,7 @@
             .control
             .submit(Command::Adopt(adopt), QUORUM_TIMEOUT)
             .await;
-        match submitted {
+        match self.outage.observe(submitted) {
             Ok(Reply::Adopted(held)) => {
                 log::info!(version, held, routes = plan.routes.len(); "routes acknowledged");
                 Ok(EMPTY_JSON)
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -31,7 +31,26 @@
     }
 }
 
-/// The metrics of one router process.
+/// Label of a [`FigureGauge`].
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct FigureLabel {
+    /// Name of the figure, out of a fixed set of words.
+    pub figure: &'static str,
+}
+
+/// A family of gauges, one for each figure.
+#[derive(Clone, Debug, Default)]
+pub struct FigureGauge(Family<FigureLabel, Gauge>);
+
+impl FigureGauge {
+    /// Sets a figure. A value beyond the range of the gauge is set to its maximum.
+    pub fn set(&self, figure: &'static str, value: u64) {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        self.0.get_or_create(&FigureLabel { figure }).set(value);
+    }
+}
+
+/// The metrics of one router or control process.
 #[derive(Debug)]
 pub struct Metrics {
     /// Collects all metrics for the text output.
@@ -97,6 +116,8 @@
     pub rates: OutcomeCounter,
     /// Pauses that upstreams asked for, and what became of requests for paused upstreams.
     pub pauses: OutcomeCounter,
+    /// State of the control replica: sizes of log and snapshot, time without a leader, and the like.
+    pub replica: FigureGauge,
     /// Pass-through requests by kind of route and outcome.
     pass_through: Family<PassThroughLabel, Counter>,
     /// Latency of answers to pass-through requests.
@@ -166,6 +187,7 @@
             faults: OutcomeCounter::default(),
             plan_fetches: OutcomeCounter::default(),
             unconfirmed: Gauge::default(),
+            replica: FigureGauge::default(),
             loans: OutcomeCounter::default(),
             rates: OutcomeCounter::default(),
             pauses: OutcomeCounter::default(),
@@ -250,6 +272,9 @@
         for (name, help, gauge) in gauges {
             self.registry.register(name, help, gauge.clone());
         }
+        let help = "State of the control replica, by figure";
+        self.registry
+            .register("replica", help, self.replica.0.clone());
         let help = "Pass-through requests by kind of route and end";
         self.registry
             .register("pass_through_requests", help, self.pass_through.clone());
