--- a/crates/fleet/tests/disk.rs
+++ b/crates/fleet/tests/disk.rs
@@ -306,6 +306,79 @@
     assert!(matches!(error, Some(DiskError::Full { .. })), "{error:?}");
 }
 
+/// Entries of 100 KB, one write each.
+fn large_entries(range: std::ops::Range<u64>) -> Vec<Vec<Save>> {
+    let entry = |index| Entry {
+        payload: Payload::Command(vec![index as u8; 100 << 10].into()),
+        ..entry(1, index)
+    };
+    range
+        .map(|index| vec![Save::Entries(vec![entry(index)])])
+        .collect()
+}
+
+/// Returns the log segments with their contents.
+fn segments(folder: &TempDir) -> Vec<(PathBuf, Vec<u8>)> {
+    let files = fs::read_dir(folder.path()).unwrap();
+    let paths = files.map(|item| item.unwrap().path());
+    let logs = paths.filter(|path| path.to_str().unwrap().contains("log-"));
+    logs.map(|path| (path.clone(), fs::read(path).unwrap()))
+        .collect()
+}
+
+#[test]
+fn segments_are_removed_once_a_snapshot_contains_them() {
+    let folder = write_batches(large_entries(1..50));
+    assert!(segments(&folder).len() > 3);
+    open(folder.path())
+        .unwrap()
+        .0
+        .write(vec![Save::Compact(snapshot_at(1, 45))])
+        .unwrap();
+    let kept: usize = segments(&folder).iter().map(|(_, bytes)| bytes.len()).sum();
+    assert!(kept < 2 << 20, "{kept} bytes");
+    let durable = reload(&folder);
+    let expected: Vec<_> = (46..50).map(|index| (1, index)).collect();
+    assert_eq!(positions(durable), expected);
+}
+
+#[test]
+fn segments_that_a_crash_left_behind_are_removed_at_the_start() {
+    let folder = write_batches(large_entries(1..50));
+    let before = segments(&folder);
+    let (mut writer, _) = open(folder.path()).unwrap();
+    writer
+        .write(vec![Save::Compact(snapshot_at(1, 49))])
+        .unwrap();
+    drop(writer);
+    let after = segments(&folder);
+    for first in 0..before.len() {
+        let mut left: Vec<_> = before.clone();
+        left.sort();
+        for (path, bytes) in &left[first..] {
+            fs::write(path, bytes).unwrap();
+        }
+        assert_eq!(positions(reload(&folder)), []);
+        assert_eq!(segments(&folder), after);
+    }
+}
+
+#[test]
+fn missing_segment_with_needed_entries_is_an_error() {
+    let folder = write_batches(large_entries(1..50));
+    let mut paths: Vec<_> = segments(&folder)
+        .into_iter()
+        .map(|(path, _)| path)
+        .collect();
+    paths.sort();
+    fs::remove_file(&paths[1]).unwrap();
+    let error = open(folder.path()).err();
+    assert!(
+        matches!(error, Some(DiskError::Missing { .. })),
+        "{error:?}"
+    );
+}
+
 #[test]
 fn any_bytes_in_any_file() {
     check!()
--- a/crates/fleet/tests/full_logs.rs
+++ b/crates/fleet/tests/full_logs.rs
@@ -95,3 +95,33 @@
     check_newest(&group, next - 1).await;
     adopt_all(&group, next..next + 5).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn logs_stay_within_their_bounds_in_memory_and_on_disk() {
+    let group = start(3).await;
+    adopt_all(&group, 1..VERSIONS).await;
+    for at in 0..3 {
+        let log = group.handle(at).status().await.unwrap().log;
+        assert!(log.bytes as u64 <= 4 * group.snapshot_bytes, "{log:?}");
+        let files = std::fs::read_dir(group.data(at)).unwrap();
+        let used: u64 = files
+            .map(|file| file.unwrap().metadata().unwrap().len())
+            .sum();
+        assert!(used <= DISK_BYTES / 2, "{used} bytes on disk");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn resent_documents_do_not_fill_the_log() {
+    let group = start(3).await;
+    adopt_all(&group, 1..3).await;
+    let all = group.running();
+    for _ in 0..100 {
+        group.submit(&all, &adopt(2)).await;
+    }
+    check_newest(&group, 2).await;
+    for at in 0..3 {
+        let log = group.handle(at).status().await.unwrap().log;
+        assert!(log.bytes < 4 * DOCUMENT_BYTES, "{log:?}");
+    }
+}
