--- a/crates/fleet/src/edges/disk/folder.rs
+++ b/crates/fleet/src/edges/disk/folder.rs
@@ -294,6 +294,7 @@
         let mut history = History::new(snapshot_index.unwrap_or_default());
         let (closed, active) = replay(path, id, &segment_numbers, &mut history)?;
         history.check(path, snapshot.as_ref())?;
+        let diverges = snapshot.as_ref().is_some_and(|at| history.diverges(at));
         let mut folder = Self {
             path: path.to_path_buf(),
             id,
@@ -313,6 +314,10 @@
         };
         // Left behind if the process ended while it removed them.
         folder.remove_covered()?;
+        if diverges {
+            // Without a new start, entries to come would follow those that the snapshot has replaced.
+            folder.begin_segment(true)?;
+        }
         Ok((folder, durable))
     }
 }
--- a/crates/fleet/src/edges/disk/history.rs
+++ b/crates/fleet/src/edges/disk/history.rs
@@ -79,6 +79,14 @@
         Ok(())
     }
 
+    /// Whether the log has another entry where the snapshot ends: the snapshot came from a leader and
+    /// replaces the entries, and the process ended before that was written.
+    pub fn diverges(&self, snapshot: &Snapshot) -> bool {
+        let index = snapshot.at.index;
+        let mut entries = self.entries.iter();
+        entries.any(|entry| entry.at.index == index && entry.at != snapshot.at)
+    }
+
     /// Appends entries after removing those that they replace.
     fn extend(&mut self, path: &Path, entries: Vec<Entry>) -> Result<(), DiskError> {
         let Some(first) = entries.first().map(|entry| entry.at.index) else {
--- a/crates/fleet/tests/disk.rs
+++ b/crates/fleet/tests/disk.rs
@@ -164,6 +164,10 @@
     )
     .unwrap();
     assert_eq!(positions(reload(&folder)), []);
+    let (mut writer, _) = open(folder.path()).unwrap();
+    writer.write(vec![entries(3, 11..13)]).unwrap();
+    drop(writer);
+    assert_eq!(positions(reload(&folder)), [(3, 11), (3, 12)]);
 }
 
 #[test]
