--- a/crates/fleet/src/controllers/replica/carry.rs
+++ b/crates/fleet/src/controllers/replica/carry.rs
@@ -23,6 +23,10 @@
 /// snapshot is due, divided by this.
 const KEPT_ENTRIES_DIVISOR: u64 = 4;
 
+/// Replicas take snapshots after one of this many sizes of the log, which differ by this part.
+const STAGGERED_SIZES: u64 = 4;
+const STAGGER_DIVISOR: u64 = 16;
+
 impl ReplicaState {
     /// Passes an input to the protocol and executes the outputs.
     pub(super) fn step(&mut self, input: Input) {
@@ -216,11 +220,14 @@
         }
     }
 
-    /// Returns the size of applied commands after which a snapshot is due, in bytes. The log may grow to
-    /// the size of the state, so that snapshots at most double what is written.
-    pub(super) fn snapshot_bytes(&self) -> u64 {
-        let state = self.replica.node().log().snapshot().data.len();
-        self.snapshot_due.bytes.max(state as u64)
+    /// Returns the size of applied commands after which a snapshot is due, in bytes. With a large state
+    /// it is up to twice the setting, so that less is written. It differs between replicas, so that not
+    /// all of them write a snapshot at the same entry.
+    pub(super) fn due_bytes(&self) -> u64 {
+        let state = self.replica.node().log().snapshot().data.len() as u64;
+        let due = self.snapshot_due.bytes;
+        let due = state.clamp(due, due.saturating_mul(2));
+        due - due / STAGGER_DIVISOR * (self.replica.node().id().0 % STAGGERED_SIZES)
     }
 
     /// Starts to encode a snapshot when enough was applied since the last one.
@@ -228,8 +235,7 @@
         let last = self.replica.node().log().snapshot().at.index;
         let index = self.applied.index;
         let entries = index.saturating_sub(last).0;
-        let is_due =
-            entries >= self.snapshot_due.entries || self.applied_bytes >= self.snapshot_bytes();
+        let is_due = entries >= self.snapshot_due.entries || self.applied_bytes >= self.due_bytes();
         if self.encoding || !is_due || entries == 0 {
             return;
         }
--- a/crates/fleet/src/controllers/replica/serve.rs
+++ b/crates/fleet/src/controllers/replica/serve.rs
@@ -23,6 +23,9 @@
 /// Largest number of commands proposed together.
 const MAX_BATCH_COMMANDS: usize = 1_024;
 
+/// Size of the commands proposed together after which no further one is added, in bytes.
+const MAX_BATCH_BYTES: usize = 1 << 20;
+
 /// Largest size of an encoded command, and of all commands that wait to be proposed.
 const MAX_COMMAND_BYTES: usize = 16 << 20;
 
@@ -152,6 +155,7 @@
             let _ = proposed.reply.send(Err(ReplicaError::NoQuorum));
         }
         self.refuse_queued(self.leader());
+        self.held = false;
     }
 
     /// Refuses the queued commands and names the leader, if it is known.
@@ -167,7 +171,8 @@
         if self.queue.commands.is_empty() || self.writer.busy() || !node.leads() {
             return;
         }
-        let is_held = node.log().size() as u64 >= MAX_LOG_FACTOR * self.snapshot_bytes();
+        let is_held =
+            node.log().size() as u64 >= self.snapshot_due.bytes.saturating_mul(MAX_LOG_FACTOR);
         if is_held != self.held {
             self.held = is_held;
             let size = node.log().size();
@@ -182,9 +187,16 @@
         let term = node.term();
         let mut index = node.log().last().index;
         let mut commands = Vec::new();
+        let mut size = 0;
         while commands.len() < MAX_BATCH_COMMANDS
+            && size < MAX_BATCH_BYTES
             && let Some(queued) = self.queue.pop()
         {
+            if queued.reply.is_closed() {
+                // The caller has given up, and sends the command again if it needs it.
+                continue;
+            }
+            size += queued.bytes.len();
             index = index.next();
             let proposed = Proposed {
                 term,
--- a/crates/fleet/src/controllers/replica/writer.rs
+++ b/crates/fleet/src/controllers/replica/writer.rs
@@ -1,6 +1,7 @@
 //! Batches disk writes, one batch at a time, and holds back messages until the writes before them
 //! are durable.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -133,7 +134,8 @@
     stopping: &AtomicBool,
     on_full: impl FnOnce(),
 ) -> Result<(), DiskError> {
-    match folder.write(saves.clone()) {
+    let mut saves = VecDeque::from(saves);
+    match folder.write_next(&mut saves) {
         Err(error @ DiskError::Full { .. }) => {
             log::error!("the replica waits for room on the disk: {error}");
             on_full();
@@ -144,7 +146,7 @@
         if !stopping.load(Ordering::Acquire) {
             thread::sleep(FULL_RETRY_PERIOD);
         }
-        let written = folder.repair().and_then(|()| folder.write(saves.clone()));
+        let written = folder.repair().and_then(|()| folder.write_next(&mut saves));
         match written {
             Err(DiskError::Full { .. }) if !stopping.load(Ordering::Acquire) => {}
             Ok(()) => {
--- a/crates/fleet/src/controllers/replica_status.rs
+++ b/crates/fleet/src/controllers/replica_status.rs
@@ -27,6 +27,7 @@
 
 fn set_metrics(status: &ReplicaStatus, metrics: &Metrics) {
     let log = status.log;
+    let lacking = status.behind.iter().map(|(_, count)| *count);
     let figures = [
         ("leads", u64::from(status.leads)),
         ("leaderless_ms", status.leaderless.0),
@@ -35,7 +36,7 @@
         ("snapshot_bytes", log.snapshot_bytes as u64),
         ("disk_full", u64::from(log.disk_full)),
         ("commands_held", u64::from(log.held)),
-        ("members_behind", status.behind.len() as u64),
+        ("entries_behind", lacking.max().unwrap_or(0)),
     ];
     for (figure, value) in figures {
         metrics.replica.set(figure, value);
--- a/crates/fleet/src/edges/disk/file.rs
+++ b/crates/fleet/src/edges/disk/file.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::fs::File;
+use std::fs::OpenOptions;
 use std::io;
 use std::path::Path;
 
@@ -58,6 +59,14 @@
     }
 }
 
+/// Empties a file if it exists.
+pub fn empty_if_exists(path: &Path) -> Result<(), DiskError> {
+    match OpenOptions::new().write(true).truncate(true).open(path) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => Err(DiskError::from_io(path, e)),
+        _ => Ok(()),
+    }
+}
+
 /// Removes a file if it exists.
 pub fn remove_if_exists(path: &Path) -> Result<(), DiskError> {
     match fs::remove_file(path) {
--- a/crates/fleet/src/edges/disk/folder.rs
+++ b/crates/fleet/src/edges/disk/folder.rs
@@ -1,5 +1,6 @@
 //! Opens a data folder, reads the replica's state from it and writes to it.
 
+use std::collections::VecDeque;
 use std::fs;
 use std::fs::File;
 use std::fs::OpenOptions;
@@ -34,6 +35,9 @@
 /// Name of the file that a process locks while it uses the folder.
 const LOCK_FILE: &str = "lock";
 
+/// Name of a snapshot that is not complete.
+const NEW_SNAPSHOT_FILE: &str = "snapshot.new";
+
 /// Size, in bytes, after which a segment is closed and the next one begins. A segment is removed as a
 /// whole, so up to this much of the log stays on disk although a snapshot contains it.
 const SEGMENT_BYTES: u64 = 1 << 20;
@@ -123,34 +127,46 @@
         self.id
     }
 
-    /// Makes writes durable. Consecutive votes and entries share one sync. After
-    /// [`DiskError::Full`], [`Folder::repair`] and the same writes may be tried again. After another
-    /// error the state of the folder is unknown and it has to be opened again.
+    /// Makes writes durable. Consecutive votes and entries share one sync. After an error the state of
+    /// the folder is unknown and it has to be opened again.
     ///
     /// # Errors
     ///
     /// Any [`DiskError`].
     pub fn write(&mut self, saves: Vec<Save>) -> Result<(), DiskError> {
-        let mut records = Vec::new();
-        for save in saves {
+        self.write_next(&mut saves.into())
+    }
+
+    /// Makes writes durable and removes each of them from the queue once it is. After
+    /// [`DiskError::Full`], [`Folder::repair`] and what is left in the queue may be tried again. After
+    /// another error the state of the folder is unknown and it has to be opened again.
+    ///
+    /// # Errors
+    ///
+    /// Any [`DiskError`].
+    pub fn write_next(&mut self, saves: &mut VecDeque<Save>) -> Result<(), DiskError> {
+        self.remove_next_covered()?;
+        while let Some(save) = saves.front() {
             match save {
-                Save::Vote { term, vote } => {
-                    self.term = term;
-                    self.vote = vote;
-                    records.push(Record::Vote { term, vote });
-                }
-                Save::Entries(entries) => records.push(Record::Entries(entries)),
                 Save::Compact(snapshot) => {
-                    self.flush(&mut records)?;
+                    let snapshot = Arc::clone(snapshot);
                     self.write_snapshot(&snapshot, false)?;
+                    saves.pop_front();
                 }
                 Save::Install(snapshot) => {
-                    self.flush(&mut records)?;
+                    let snapshot = Arc::clone(snapshot);
                     self.write_snapshot(&snapshot, true)?;
+                    saves.pop_front();
+                }
+                Save::Vote { .. } | Save::Entries(_) => {
+                    let records: Vec<Record> = saves.iter().map_while(record).collect();
+                    let count = records.len();
+                    self.append(records)?;
+                    saves.drain(..count);
                 }
             }
         }
-        self.flush(&mut records)
+        Ok(())
     }
 
     /// Removes what a write left behind that failed for want of room.
@@ -159,6 +175,8 @@
     ///
     /// Any [`DiskError`].
     pub fn repair(&mut self) -> Result<(), DiskError> {
+        // A part of a snapshot would hold the room that it lacks.
+        file::empty_if_exists(&self.path.join(NEW_SNAPSHOT_FILE))?;
         // The segment after the current one, if the write began it.
         let next = segment::file_name(self.active.number + 1);
         file::remove_if_exists(&self.path.join(next))?;
@@ -172,23 +190,23 @@
         file::sync_folder(&self.path)
     }
 
-    /// Appends records to the current segment as one frame, syncs it, and clears `records`.
-    fn flush(&mut self, records: &mut Vec<Record>) -> Result<(), DiskError> {
-        if records.is_empty() {
-            return Ok(());
+    /// Appends records to the current segment as one frame and syncs it.
+    fn append(&mut self, records: Vec<Record>) -> Result<(), DiskError> {
+        for record in &records {
+            if let Record::Vote { term, vote } = record {
+                self.term = *term;
+                self.vote = *vote;
+            }
         }
         if self.active.end >= SEGMENT_BYTES {
             self.begin_segment(false)?;
         }
         let path = &self.active.path;
-        let bytes = file::encode(path, &encode(path, records)?)?;
+        let bytes = file::encode(path, &encode(path, &records)?)?;
         file::append_and_sync(&mut self.active.file, path, &bytes, &self.faults)?;
         self.active.end += bytes.len() as u64;
-        for record in records.drain(..) {
-            if let Some(last) = last_index(&record) {
-                self.active.last = self.active.last.max(last);
-            }
-        }
+        let last = records.iter().filter_map(last_index).max();
+        self.active.last = self.active.last.max(last.unwrap_or_default());
         Ok(())
     }
 
@@ -199,19 +217,28 @@
         file::write_atomically(&self.path, snapshot::FILE_NAME, &payload, &self.faults)?;
         self.snapshot = Some(snapshot.at.index);
         self.begin_segment(reset)?;
-        match reset {
-            true => self.remove_closed(self.closed.len()),
-            false => self.remove_covered(),
+        if reset {
+            for closed in &mut self.closed {
+                closed.last = Index::ZERO;
+            }
         }
+        Ok(())
     }
 
-    /// Removes the closed segments whose entries the snapshot contains.
-    fn remove_covered(&mut self) -> Result<(), DiskError> {
-        let Some(snapshot) = self.snapshot else {
+    /// Removes the oldest closed segment if the snapshot contains its entries or has replaced them. One
+    /// is removed with each write, durably, since a missing segment between others is an error when the
+    /// folder is opened, and since all of them at once would hold back a write for as many syncs.
+    fn remove_next_covered(&mut self) -> Result<(), DiskError> {
+        let Some(closed) = self.closed.first() else {
             return Ok(());
         };
-        let covered = |closed: &&ClosedSegment| closed.last <= snapshot;
-        self.remove_closed(self.closed.iter().take_while(covered).count())
+        if self.snapshot.is_none_or(|snapshot| closed.last > snapshot) {
+            return Ok(());
+        }
+        file::remove_if_exists(&self.path.join(segment::file_name(closed.number)))?;
+        file::sync_folder(&self.path)?;
+        self.closed.remove(0);
+        Ok(())
     }
 
     /// Closes the current segment and starts the next one. If `reset` is set, the snapshot replaces all
@@ -234,16 +261,6 @@
         Ok(())
     }
 
-    /// Removes the oldest closed segments. Each removal is durable before the next one, as a missing
-    /// segment between others is an error when the folder is opened.
-    fn remove_closed(&mut self, count: usize) -> Result<(), DiskError> {
-        for closed in self.closed.drain(..count) {
-            file::remove_if_exists(&self.path.join(segment::file_name(closed.number)))?;
-            file::sync_folder(&self.path)?;
-        }
-        Ok(())
-    }
-
     /// Initializes a folder with a new identity and an empty log.
     fn create(
         path: &Path,
@@ -295,6 +312,7 @@
         let (closed, active) = replay(path, id, &segment_numbers, &mut history)?;
         history.check(path, snapshot.as_ref())?;
         let diverges = snapshot.as_ref().is_some_and(|at| history.diverges(at));
+        file::remove_if_exists(&path.join(NEW_SNAPSHOT_FILE))?;
         let mut folder = Self {
             path: path.to_path_buf(),
             id,
@@ -312,8 +330,6 @@
             snapshot: Arc::new(snapshot.unwrap_or_default()),
             entries: history.entries,
         };
-        // Left behind if the process ended while it removed them.
-        folder.remove_covered()?;
         if diverges {
             // Without a new start, entries to come would follow those that the snapshot has replaced.
             folder.begin_segment(true)?;
@@ -360,6 +376,18 @@
     }
 }
 
+/// Returns the record of a vote or of entries, or `None` for a snapshot.
+fn record(save: &Save) -> Option<Record> {
+    match save {
+        Save::Vote { term, vote } => Some(Record::Vote {
+            term: *term,
+            vote: *vote,
+        }),
+        Save::Entries(entries) => Some(Record::Entries(entries.clone())),
+        Save::Compact(_) | Save::Install(_) => None,
+    }
+}
+
 /// Locks a folder until the returned file is closed.
 fn lock(folder: &Path) -> Result<File, DiskError> {
     let path = folder.join(LOCK_FILE);
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -199,8 +199,8 @@
         }
     }
 
-    /// Lowers the size of the log to what the limits of a process bear, in bytes. Log, two snapshots and
-    /// what arrives while one is written share the disk; memory holds the log beside all else.
+    /// Fits the size of the log to the disk and the memory of the process, both in bytes. The log holds up
+    /// to four times the size after which a snapshot is due, and two snapshots need room beside it.
     #[must_use]
     pub fn within(mut self, disk: Option<usize>, memory: usize) -> Self {
         let disk = disk.unwrap_or(usize::MAX) / DISK_LOG_DIVISOR;
@@ -250,7 +250,8 @@
 /// Parts of the disk and of the memory that the log between two snapshots may take.
 const DISK_LOG_DIVISOR: usize = 16;
 const MEMORY_LOG_DIVISOR: usize = 32;
-/// With less, each change of a large set of routes would need a snapshot of its own.
+/// Least size of the log, however small disk and memory are. A large set of routes is one entry of some
+/// hundred kilobytes.
 const MIN_SNAPSHOT_BYTES: u64 = 1 << 20;
 const DEFAULT_BODY_BYTES: usize = 4 << 20;
 const DEFAULT_RECORD_BYTES: usize = 64 << 10;
--- a/crates/fleet/tests/full_disk.rs
+++ b/crates/fleet/tests/full_disk.rs
@@ -4,6 +4,7 @@
 
 mod replica_support;
 
+use std::collections::VecDeque;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -135,6 +136,37 @@
     }
 }
 
+/// Tries again and again to write entries and a snapshot that does not fit.
+#[test]
+fn writes_that_wait_for_room_take_none() {
+    let data = tempfile::tempdir().unwrap();
+    let faults = DiskFaults::default();
+    let (mut folder, _) = Folder::open_with(data.path(), ID, faults.clone()).unwrap();
+    let large = Snapshot {
+        data: vec![0; 100_000].into(),
+        ..Snapshot::clone(&snapshot(3))
+    };
+    let mut saves = VecDeque::from([entries(1..4), Save::Compact(large.into())]);
+    faults.set_capacity(50_000);
+    for _ in 0..20 {
+        let written = folder.write_next(&mut saves);
+        assert!(matches!(written, Err(DiskError::Full { .. })));
+        folder.repair().unwrap();
+        let files = std::fs::read_dir(data.path()).unwrap();
+        let used: u64 = files
+            .map(|file| file.unwrap().metadata().unwrap().len())
+            .sum();
+        assert!(used < 1_000, "{used} bytes");
+    }
+    let vote = Save::Vote {
+        term: Term(2),
+        vote: Some(ID),
+    };
+    folder.write(vec![vote]).unwrap();
+    drop(folder);
+    assert_eq!(reopen(data.path()).term, Term(2));
+}
+
 #[test]
 fn nothing_is_lost_if_the_process_ends_while_the_disk_is_full() {
     for full in 0..batches().len() {
--- a/crates/fleet/tests/full_logs.rs
+++ b/crates/fleet/tests/full_logs.rs
@@ -125,3 +125,59 @@
         assert!(log.bytes < 4 * DOCUMENT_BYTES, "{log:?}");
     }
 }
+
+/// Fills all disks from outside, restarts replicas or not, and makes room again.
+async fn check_all_disks_full(count: usize, is_restarted: bool) {
+    let mut group = start(count).await;
+    adopt_all(&group, 1..20).await;
+    for disk in &group.disks {
+        disk.set_room(Some(0));
+    }
+    let timeout = std::time::Duration::from_millis(500);
+    let work = adopt_all(&group, 20..21);
+    let refused = tokio::time::timeout(timeout, work).await;
+    assert!(refused.is_err(), "a change was accepted without room");
+    for at in 0..if is_restarted { count } else { 0 } {
+        group.stop(at).await;
+        group.restart(at).await;
+    }
+    for disk in &group.disks {
+        disk.set_room(None);
+    }
+    adopt_all(&group, 21..60).await;
+    check_newest(&group, 59).await;
+}
+
+macro_rules! all_disks_full {
+    ($($name:ident: $count:literal, $restarted:literal)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+        async fn $name() {
+            check_all_disks_full($count, $restarted).await;
+        }
+    )*};
+}
+
+all_disks_full! {
+    three_full_disks_with_room_again: 3, false
+    four_full_disks_with_room_again: 4, false
+    five_full_disks_with_room_again: 5, false
+    three_full_disks_and_restarts_in_turn: 3, true
+    four_full_disks_and_restarts_in_turn: 4, true
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn emptied_disk_is_filled_from_a_compacted_log() {
+    let mut group = start(4).await;
+    adopt_all(&group, 1..100).await;
+    group.stop(2).await;
+    std::fs::remove_dir_all(group.data(2)).unwrap();
+    adopt_all(&group, 100..140).await;
+    group.restart(2).await;
+    adopt_all(&group, 140..160).await;
+    group
+        .wait_until("the emptied replica has caught up", async |group| {
+            let version = group.handle(2).peek(|machine| machine.plan().version);
+            version.await.unwrap() == 159
+        })
+        .await;
+}
