Deliver crash evidence to each node until it confirms it, at a bounded rate

Symptom: 3 s after a router found five crashes, two of twelve nodes on the small side of a cut had not heard of all, so they would send requests that crash upstreams on (BUDGET).

Cause: evidence has a stated time and was spread by chance. The finder tells two nodes drawn by lot in six rounds; with 12 of 82 nodes in reach less than two of these draws fall on one of them.

Of the ten cases for evidence now there, eight fail with the finder's call put back to gossip.

Fix: the router that finds evidence or a proof delivers it, as control hosts deliver leaves and versions. No packet has another format. Nine of the ten cases pass.

Not mended: at 1,000 hosts, with one packet in ten lost and a late finder, 96 nodes miss evidence after 3 s.

--- a/crates/core/src/roster/delivery.rs
+++ b/crates/core/src/roster/delivery.rs
@@ -13,6 +13,7 @@
 
 use super::fact::Fact;
 use super::fact::NodeFact;
+use super::findings::Findings;
 use crate::map::Map;
 use crate::unit::Millis;
 use crate::upstream::leave::MAX_LEAVES;
@@ -71,6 +72,7 @@
 pub(super) struct Deliveries {
     next: u64,
     news: BTreeMap<u64, Delivery>,
+    findings: Findings,
 }
 
 #[derive(Clone, Debug)]
@@ -86,6 +88,11 @@
     /// Begins to deliver news to these nodes. They replace older ones with the same subject. Returns
     /// whether they are not under way already.
     pub fn begin(&mut self, fact: Fact, nodes: impl Iterator<Item = SocketAddr>) -> bool {
+        if fact.is_finding() {
+            let number = self.next;
+            self.next += 1;
+            return self.findings.begin(number, fact);
+        }
         let older = self
             .news
             .iter()
@@ -115,6 +122,12 @@
         for delivery in self.news.values_mut() {
             delivery.pending.insert(address, None);
         }
+        self.findings.add_node(address);
+    }
+
+    /// Removes a node that is not a member any more.
+    pub fn remove_node(&mut self, address: &SocketAddr) {
+        self.findings.remove_node(address);
     }
 
     /// Records that a node has the news with these numbers.
@@ -124,10 +137,11 @@
                 delivery.pending.remove(&from);
             }
         }
+        self.findings.confirm(from, numbers);
     }
 
     /// Returns the facts to send now, each list for one packet to that node, with the receipt that it
-    /// sends back as the last fact. `own` is this node's own state.
+    /// sends back as the last fact. Findings come after all others. `own` is this node's own state.
     pub fn due(
         &mut self,
         now: Millis,
@@ -158,6 +172,7 @@
                 packets.push((address, self.facts(now, own, numbers)));
             }
         }
+        packets.extend(self.findings.due(now, own, receiver));
         packets
     }
 
@@ -188,7 +203,8 @@
         facts
     }
 
-    /// Returns the news that live nodes have not confirmed `age` after they were first sent.
+    /// Returns the news, other than findings, that live nodes have not confirmed `age` after they were
+    /// first sent.
     pub fn unconfirmed(
         &self,
         now: Millis,
--- a/crates/core/src/roster/fact.rs
+++ b/crates/core/src/roster/fact.rs
@@ -127,6 +127,25 @@
         }
     }
 
+    /// Returns whether a node found the fact out about a request or a part of a prompt.
+    pub(super) fn is_finding(&self) -> bool {
+        match self {
+            Self::Crash { .. } | Self::Evidence(_) | Self::Proof(_) => true,
+            Self::Node(_)
+            | Self::Upstream(_)
+            | Self::Rate(_)
+            | Self::ShareRequest(_)
+            | Self::ShareGrant(_)
+            | Self::Releases(_)
+            | Self::Origin(_)
+            | Self::OriginRequest(_)
+            | Self::OriginAnswer(_)
+            | Self::Leaves(_)
+            | Self::Delivery(_)
+            | Self::Receipt(_) => false,
+        }
+    }
+
     /// Returns whether nodes of earlier versions can't decode the fact.
     pub(super) fn is_extension(&self) -> bool {
         match self {
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -7,12 +7,13 @@
 //!
 //! Gossip alone reaches all nodes in a time that has no bound. News that have to be known within a
 //! stated time are also delivered: the node that took them sends them to each other node until that
-//! one confirms them.
+//! one confirms them. Crash evidence goes the same way, at a bounded rate and behind all others.
 //!
 //! The state is a hint about where to send requests. It never grants a permission.
 
 mod delivery;
 mod fact;
+mod findings;
 mod spread;
 mod table;
 
--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -158,14 +158,19 @@
         self.queue.push(fact, urgency);
     }
 
-    /// Takes news that this node answers for, as their subject told it: they are gossiped, and
-    /// delivered to each other node until that one confirms them. Returns whether they are not under
-    /// way already.
+    /// Takes news that this node answers for, as their subject told it or as it found them: they are
+    /// gossiped, and delivered to each other node until that one confirms them. Crash evidence and
+    /// proofs go behind all others, at a bounded rate. Returns whether the news are not under way
+    /// already.
     pub fn announce(&mut self, fact: Fact) -> bool {
+        let urgency = match fact.is_finding() {
+            true => Urgency::Urgent,
+            false => Urgency::Deadline,
+        };
         let nodes = self.nodes.keys().copied();
         let is_new = self.deliveries.begin(fact.clone(), nodes);
         if is_new {
-            self.queue.push(fact, Urgency::Deadline);
+            self.queue.push(fact, urgency);
         }
         is_new
     }
@@ -178,7 +183,8 @@
         }
     }
 
-    /// Returns the news that live nodes have not confirmed `age` after they were first sent.
+    /// Returns the news, other than crash evidence and proofs, that live nodes have not confirmed `age`
+    /// after they were first sent.
     pub fn unconfirmed(&self, now: Millis, age: Millis) -> Vec<Unconfirmed> {
         self.deliveries
             .unconfirmed(now, age, |address| self.receiver(now, address))
@@ -259,8 +265,10 @@
         self.ticks += 1;
         self.own.beat += 1;
         let retention = self.settings.retention;
-        self.nodes
-            .retain(|_, member| now < member.last_heartbeat + retention);
+        let is_expired = |member: &mut Member| now >= member.last_heartbeat + retention;
+        for (address, _) in self.nodes.extract_if(|_, member| is_expired(member)) {
+            self.deliveries.remove_node(&address);
+        }
         let targets = self.pick_targets(now);
         let asks = self
             .last_packet
--- a/crates/core/tests/roster_deadlines.rs
+++ b/crates/core/tests/roster_deadlines.rs
@@ -58,6 +58,8 @@
     late: f64,
     /// Other urgent facts that begin in each tick, at random nodes.
     urgent: usize,
+    /// Other crashes that random nodes find in each tick.
+    crashes: usize,
     /// Whether the queues are full of facts about nodes.
     full: bool,
     /// Nodes with numbers below this are cut off from the others; zero for no cut.
@@ -175,6 +177,11 @@
             let part = self.rng.random();
             self.hear_proof(at, part);
         }
+        for _ in 0..self.trouble.crashes {
+            let at = self.rng.random_range(0..self.rosters.len());
+            let body = self.rng.random();
+            self.find_crash(at, Fingerprint(body));
+        }
         for number in 0..self.rosters.len() {
             if self.is_late(number) && !(self.ticks + number as u64).is_multiple_of(LATE_TICKS) {
                 continue;
@@ -236,15 +243,16 @@
         }
     }
 
-    /// A node finds crash evidence, or hears of it.
+    /// A node finds crash evidence.
+    fn find_crash(&mut self, at: usize, body: Fingerprint) {
+        self.crashes[at].insert(body);
+        self.rosters[at].announce(crash(body));
+    }
+
+    /// A node hears of crash evidence.
     fn hear_crash(&mut self, at: usize, body: Fingerprint) {
         if self.crashes[at].insert(body) {
-            let fact = Fact::Crash {
-                body,
-                upstream: Upstream::from("engine"),
-                incarnation: Incarnation(1),
-            };
-            self.rosters[at].enqueue(fact, Urgency::Urgent);
+            self.rosters[at].enqueue(crash(body), Urgency::Urgent);
         }
     }
 
@@ -278,6 +286,14 @@
     }
 }
 
+fn crash(body: Fingerprint) -> Fact {
+    Fact::Crash {
+        body,
+        upstream: Upstream::from("engine"),
+        incarnation: Incarnation(1),
+    }
+}
+
 fn notice(upstream: &Upstream) -> LeaveNotice {
     LeaveNotice {
         upstream: upstream.clone(),
@@ -328,14 +344,20 @@
 fn evidence_is_known_in_time(count: usize, trouble: Trouble) {
     let mut fleet = Fleet::new(count, trouble);
     fleet.warm_up();
-    for crash in 0..CRASHES {
+    let bodies = (0..CRASHES).map(|crash| Fingerprint(u128::from(crash).to_be_bytes()));
+    let bodies: Vec<Fingerprint> = bodies.collect();
+    for body in &bodies {
         let finder = fleet.reachable().end - 1;
-        fleet.hear_crash(finder, Fingerprint(u128::from(crash).to_be_bytes()));
+        fleet.find_crash(finder, *body);
     }
     (0..EVIDENCE_TICKS).for_each(|_| fleet.tick());
+    let knows_all = |number: usize| {
+        let known = &fleet.crashes[number];
+        bodies.iter().all(|body| known.contains(body))
+    };
     let late: Vec<usize> = fleet
         .reachable()
-        .filter(|number| fleet.crashes[*number].len() < CRASHES as usize)
+        .filter(|number| !knows_all(*number))
         .collect();
     assert!(late.is_empty(), "nodes that miss evidence: {late:?}");
 }
@@ -376,4 +398,24 @@
         evidence_is_known_in_time, 200, { loss: 0.1, urgent: 5 };
     evidence_is_late_on_the_small_side_of_a_cut:
         evidence_is_known_in_time, 82, { loss: 0.1, urgent: 5, cut: 12, cut_ticks: 25 };
+    evidence_is_late_on_the_small_side_of_a_cut_at_200_hosts:
+        evidence_is_known_in_time, 200, { loss: 0.1, urgent: 5, cut: 20, cut_ticks: 25 };
+    evidence_is_late_right_after_a_cut_began:
+        evidence_is_known_in_time, 200, { loss: 0.1, urgent: 5, cut: 20, cut_ticks: 1 };
+    evidence_is_late_beside_other_news_at_1000_hosts:
+        evidence_is_known_in_time, 1_000, { loss: 0.1, late: 0.1, urgent: 20, full: true };
+    evidence_is_late_on_the_small_side_of_a_cut_at_1000_hosts:
+        evidence_is_known_in_time, 1_000, { urgent: 5, cut: 100, cut_ticks: 25 };
+    evidence_is_late_beside_other_crashes_at_82_hosts:
+        evidence_is_known_in_time, 82, { loss: 0.1, late: 0.4, crashes: 20, full: true };
+    evidence_is_late_beside_other_crashes_at_200_hosts:
+        evidence_is_known_in_time, 200, { loss: 0.1, late: 0.3, crashes: 20, full: true };
+    evidence_is_late_on_lossy_links:
+        evidence_is_known_in_time, 82, { loss: 0.3, late: 0.4, urgent: 20, cut: 12, cut_ticks: 25 };
+    leaves_are_late_beside_crashes_at_82_hosts:
+        leaves_are_known_in_time, 82, { loss: 0.1, late: 0.4, crashes: 20, full: true };
+    leaves_are_late_beside_crashes_at_200_hosts:
+        leaves_are_known_in_time, 200, { loss: 0.1, late: 0.3, crashes: 20, full: true };
+    versions_are_late_beside_crashes_at_200_hosts:
+        version_is_known_in_time, 200, { loss: 0.1, late: 0.3, crashes: 20, full: true };
 }
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -326,8 +326,9 @@
         !new.is_empty()
     }
 
-    /// Gossips the crash evidence that this node found since the last call: requests that broke off
-    /// at upstreams, and parts of their prompts that may have crashed these or have proved sound.
+    /// Announces the crash evidence that this node found since the last call: requests that broke off
+    /// at upstreams, and parts of their prompts that may have crashed these or have proved sound. This
+    /// node delivers it to all others.
     pub fn share_evidence(&self) {
         let (crashes, findings) = self.inner.upstreams.drain_evidence();
         if crashes.is_empty() && findings.is_empty() {
@@ -343,10 +344,10 @@
                 upstream: crash.upstream,
                 incarnation: crash.incarnation,
             };
-            roster.enqueue(fact, Urgency::Urgent);
+            roster.announce(fact);
         }
         for finding in findings {
-            roster.enqueue(Fact::from(finding), Urgency::Urgent);
+            roster.announce(Fact::from(finding));
         }
         drop(roster);
         self.inner.wake.notify_one();
