Replication: bound what is on its way to a follower in bytes, heartbeats do not wait for it

What is on its way to a follower was bounded by the number of appends (32 of 256 KB or of one larger entry: 9.6 MB), and a call by the number of frames (64). A call has 1 s, whatever its size. Heartbeats waited behind all of that in one queue, so followers missed them for longer than an election timeout, and the leader missed the answers.

Fix: unacknowledged entries are bounded to 512 KB and one append more. A heartbeat repeats no data; the response to a later round shows that a chunk was lost. While a follower owes a response, each round also sends a heartbeat whose position is the start of the log, which each log accepts in any order and which followers of earlier versions answer too. These heartbeats, votes and responses have a connection of their own. All that depends on order stays in order, so overtaking causes no conflict.

--- a/crates/core/src/replica/append.rs
+++ b/crates/core/src/replica/append.rs
@@ -77,7 +77,8 @@
     }
 
     /// Sends the entries that a member lacks, as far as its mode allows. If `heartbeat` is set, at
-    /// least one message is sent, without entries if need be.
+    /// least one message is sent, without entries if need be: a heartbeat does not repeat entries
+    /// that may still be on their way.
     pub(super) fn send_append(&mut self, to: ReplicaId, heartbeat: bool, out: &mut Vec<Output>) {
         let Role::Leader(leader) = &mut self.role else {
             return;
@@ -85,14 +86,21 @@
         let Some(peer) = leader.peers.get_mut(&to) else {
             return;
         };
+        if heartbeat && peer.awaits_response() {
+            out.push(Output::Send {
+                to,
+                message: Message::Append(Append::unordered(self.term, leader.round)),
+                after_sync: false,
+            });
+        }
         if matches!(peer.mode, SendMode::Snapshot { .. }) {
             if heartbeat {
-                self.send_chunk(to, out);
+                self.send_chunk_heartbeat(to, out);
             }
             return;
         }
         let mut heartbeat = heartbeat;
-        while heartbeat || (peer.can_send() && peer.next <= self.log.last().index) {
+        while heartbeat || (peer.can_send(&self.log) && peer.next <= self.log.last().index) {
             let index = peer.next.saturating_sub(Index(1));
             let Some(term) = self.log.term(index) else {
                 return self.start_snapshot(to, out);
@@ -102,9 +110,9 @@
             } else {
                 MAX_APPEND_ENTRIES
             };
-            let entries = match peer.mode {
-                SendMode::Pipeline(_) if !peer.can_send() => &[],
-                _ => self.log.slice(peer.next, max_entries, MAX_APPEND_BYTES),
+            let entries = match peer.can_send(&self.log) {
+                true => self.log.slice(peer.next, max_entries, MAX_APPEND_BYTES),
+                false => &[],
             };
             match &mut peer.mode {
                 SendMode::Probe { unanswered } => *unanswered = true,
--- a/crates/core/src/replica/log.rs
+++ b/crates/core/src/replica/log.rs
@@ -176,7 +176,7 @@
         &rest[..count.max(1).min(rest.len())]
     }
 
-    /// Returns how many of the entries that end with `until` have no more commands than `max_bytes`.
+    /// Returns how many entries, counted back from `until`, hold at most `max_bytes` of commands.
     pub fn count_back(&self, until: Index, max_bytes: usize) -> u64 {
         let count = self.offset(until.next()).unwrap_or(0);
         let kept = &self.entries[..count.min(self.entries.len())];
@@ -188,6 +188,15 @@
         kept.iter().rev().take_while(fits).count() as u64
     }
 
+    /// Returns the total size of the commands in the entries of a range, those compacted away not
+    /// counted. `until` is not part of the range.
+    pub fn size_between(&self, from: Index, until: Index) -> usize {
+        let start = self.offset(from).unwrap_or(0);
+        let end = self.offset(until).unwrap_or(0).min(self.entries.len());
+        let range = self.entries.get(start..end).unwrap_or(&[]);
+        range.iter().map(|entry| entry.payload.size()).sum()
+    }
+
     /// Returns the last position with at most this index and at most this term, or `None` if it was
     /// compacted away.
     pub fn last_at_most(&self, index: Index, term: Term) -> Option<Position> {
--- a/crates/core/src/replica/message.rs
+++ b/crates/core/src/replica/message.rs
@@ -128,7 +128,36 @@
     pub bytes: Arc<[u8]>,
 }
 
+impl Append {
+    /// Returns a heartbeat that makes sense in any order with other messages of the leader: every log
+    /// contains the position before the first entry.
+    pub(super) fn unordered(term: Term, round: u64) -> Self {
+        Self {
+            term,
+            round,
+            prev: Position::default(),
+            entries: Vec::new(),
+            commit: Index::ZERO,
+        }
+    }
+}
+
 impl Message {
+    /// Whether the message may overtake earlier ones to the same receiver. Appends and chunks build
+    /// on those before them, and a successor has to have all entries.
+    pub fn is_unordered(&self) -> bool {
+        match self {
+            Self::PreVote(_)
+            | Self::PreVoted { .. }
+            | Self::Vote(_)
+            | Self::Voted { .. }
+            | Self::Appended(_)
+            | Self::Chunked { .. } => true,
+            Self::Append(append) => append.entries.is_empty() && append.prev == Position::default(),
+            Self::Chunk(_) | Self::Stand { .. } => false,
+        }
+    }
+
     /// Returns the term of the sender, or that of the election for a vote or pre-vote.
     pub fn term(&self) -> Term {
         match self {
--- a/crates/core/src/replica/peer.rs
+++ b/crates/core/src/replica/peer.rs
@@ -2,12 +2,17 @@
 
 use std::sync::Arc;
 
+use super::log::Log;
 use super::log::Snapshot;
 use crate::unit::Index;
 
 /// Maximum number of unacknowledged appends with entries to one member.
 pub const MAX_INFLIGHT_APPENDS: u32 = 32;
 
+/// Total size of unacknowledged entries to one member from which on no more are sent. Heartbeats wait
+/// behind entries, so on a slow link this bounds their delay.
+pub const MAX_INFLIGHT_BYTES: usize = 512 << 10;
+
 /// Replication progress of one member, as tracked by the leader.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Peer {
@@ -43,6 +48,8 @@
         snapshot: Arc<Snapshot>,
         /// Number of bytes that the member has received.
         offset: u64,
+        /// Heartbeat round in which the chunk at this offset was last sent.
+        sent_round: u64,
     },
 }
 
@@ -60,23 +67,40 @@
     }
 
     /// Whether an append with entries may be sent now.
-    pub fn can_send(&self) -> bool {
+    pub fn can_send(&self, log: &Log) -> bool {
         match self.mode {
             SendMode::Probe { unanswered } => !unanswered,
-            SendMode::Pipeline(inflight) => inflight < MAX_INFLIGHT_APPENDS,
+            SendMode::Pipeline(inflight) => {
+                inflight < MAX_INFLIGHT_APPENDS
+                    && log.size_between(self.matched.next(), self.next) < MAX_INFLIGHT_BYTES
+            }
             SendMode::Snapshot { .. } => false,
         }
     }
 
+    /// Whether something is on its way to the member whose size may delay what is sent after it.
+    pub fn awaits_response(&self) -> bool {
+        match self.mode {
+            SendMode::Probe { unanswered } => unanswered,
+            SendMode::Pipeline(_) => self.matched.next() < self.next,
+            SendMode::Snapshot { .. } => true,
+        }
+    }
+
     /// Records that the member's log is durable and equal to the leader's up to an index.
     pub fn record_match(&mut self, index: Index) {
+        let is_higher = index > self.matched;
+        // A probe is answered with at least the entry before it.
+        let answers_probe = index.next() >= self.next;
         self.matched = self.matched.max(index);
         self.next = self.next.max(self.matched.next());
         match &mut self.mode {
             SendMode::Pipeline(_) if self.matched.next() == self.next => {
                 self.mode = SendMode::Pipeline(0)
             }
-            SendMode::Pipeline(inflight) => *inflight = inflight.saturating_sub(1),
+            SendMode::Pipeline(inflight) if is_higher => *inflight = inflight.saturating_sub(1),
+            SendMode::Pipeline(_) => {}
+            SendMode::Probe { .. } if !answers_probe => {}
             SendMode::Probe { .. } => {
                 self.next = self.matched.next();
                 self.mode = SendMode::Pipeline(0);
--- a/crates/core/src/replica/transfer.rs
+++ b/crates/core/src/replica/transfer.rs
@@ -65,24 +65,45 @@
             peer.mode = SendMode::Snapshot {
                 snapshot,
                 offset: 0,
+                sent_round: leader.round,
             };
         }
         self.send_chunk(to, out);
     }
 
     /// Sends the next chunk of the snapshot that a member is receiving.
-    pub(super) fn send_chunk(&self, to: ReplicaId, out: &mut Vec<Output>) {
+    fn send_chunk(&mut self, to: ReplicaId, out: &mut Vec<Output>) {
+        if let Role::Leader(leader) = &mut self.role
+            && let Some(peer) = leader.peers.get_mut(&to)
+            && let SendMode::Snapshot { sent_round, .. } = &mut peer.mode
+        {
+            *sent_round = leader.round;
+        }
+        self.send_chunk_data(to, SNAPSHOT_CHUNK_BYTES, out);
+    }
+
+    /// Sends a chunk without data to a member that is receiving a snapshot. The response tells
+    /// whether the last chunk was lost.
+    pub(super) fn send_chunk_heartbeat(&self, to: ReplicaId, out: &mut Vec<Output>) {
+        self.send_chunk_data(to, 0, out);
+    }
+
+    /// Sends a member up to `max_bytes` of the snapshot that it is receiving.
+    fn send_chunk_data(&self, to: ReplicaId, max_bytes: u64, out: &mut Vec<Output>) {
         let Role::Leader(leader) = &self.role else {
             return;
         };
         let Some(peer) = leader.peers.get(&to) else {
             return;
         };
-        let SendMode::Snapshot { snapshot, offset } = &peer.mode else {
+        let SendMode::Snapshot {
+            snapshot, offset, ..
+        } = &peer.mode
+        else {
             return;
         };
         let size = snapshot.data.len() as u64;
-        let end = offset.saturating_add(SNAPSHOT_CHUNK_BYTES).min(size);
+        let end = offset.saturating_add(max_bytes).min(size);
         let bytes = snapshot
             .data
             .get(*offset as usize..end as usize)
@@ -194,19 +215,21 @@
         };
         peer.active = true;
         peer.acked_round = peer.acked_round.max(round.min(leader.round));
-        let offset_changed = match &mut peer.mode {
+        let due = match &mut peer.mode {
             SendMode::Snapshot {
                 snapshot,
                 offset: sent,
+                sent_round,
             } if snapshot.at == at => {
-                let offset_changed = *sent != offset;
+                // A response to a later round at the same offset shows that the chunk was lost.
+                let due = *sent != offset || round > *sent_round;
                 *sent = offset.min(snapshot.data.len() as u64);
-                offset_changed
+                due
             }
             _ => false,
         };
         self.confirm_reads(out);
-        if offset_changed {
+        if due {
             self.send_chunk(from, out);
         }
     }
--- a/crates/fleet/src/edges/rpc/mod.rs
+++ b/crates/fleet/src/edges/rpc/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod control;
 pub mod document;
+mod frames;
 pub mod node;
 pub mod peer;
 pub mod router;
--- a/crates/fleet/src/edges/rpc/peer.rs
+++ b/crates/fleet/src/edges/rpc/peer.rs
@@ -29,24 +29,23 @@
 use tonic::transport::Channel;
 use tonic::transport::Endpoint;
 
+use super::frames::FrameReceiver;
+use super::frames::FrameSender;
+use super::frames::frame_queue;
 use crate::timer::jitter;
 
 /// Bound on an encoded message between replicas, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 64 << 20;
 
-/// Bound on the frames that wait for one connection.
-const LINK_QUEUE_FRAMES: usize = 256;
-
-/// Bound on the frames in one call.
-const MAX_BATCH_FRAMES: usize = 64;
-
 /// Bound on the addresses that frames are sent to.
 const MAX_LINKS: usize = 32;
 
 /// Bound on the time to open a connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 500;
-/// Bound on one call, in milliseconds.
+/// Bound on one call, in milliseconds, beside the time that its bytes take.
 const CALL_TIMEOUT_MS: u64 = 1_000;
+/// Rate of the slowest connection that calls are given time for, in bytes per millisecond.
+const MIN_BYTES_PER_MS: u64 = 256;
 /// Backoff after the first failure, in milliseconds.
 const MIN_BACKOFF_MS: u64 = 20;
 /// Bound on the backoff, in milliseconds.
@@ -63,6 +62,15 @@
     pub message: Message,
 }
 
+/// An encoded [`Envelope`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Frame {
+    /// The encoded envelope.
+    pub bytes: Vec<u8>,
+    /// Whether the frame may overtake earlier ones.
+    pub unordered: bool,
+}
+
 /// Error of encoding or decoding a frame.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 #[error("malformed frame")]
@@ -74,8 +82,10 @@
     /// # Errors
     ///
     /// [`FrameError`] if the message cannot be encoded.
-    pub fn encode(&self) -> Result<Vec<u8>, FrameError> {
-        postcard::to_stdvec(self).map_err(|_| FrameError)
+    pub fn encode(&self) -> Result<Frame, FrameError> {
+        let bytes = postcard::to_stdvec(self).map_err(|_| FrameError)?;
+        let unordered = self.message.is_unordered();
+        Ok(Frame { bytes, unordered })
     }
 
     /// Decodes a frame.
@@ -194,13 +204,21 @@
     }
 }
 
-/// Client side of the connections, one for each address. Dropping it closes them.
+/// Client side of the connections, two for each address. Dropping it closes them.
 #[derive(Debug)]
 pub struct Links {
     own_address: SocketAddr,
     faults: LinkFaults,
-    /// Queue of frames for each address.
-    links: Map<SocketAddr, mpsc::Sender<Vec<u8>>>,
+    /// Queues of frames for each address.
+    links: Map<SocketAddr, Link>,
+}
+
+/// Queues of frames for one address. Each has a connection of its own, so that heartbeats and votes do
+/// not wait for entries.
+#[derive(Debug)]
+struct Link {
+    ordered: FrameSender,
+    unordered: FrameSender,
 }
 
 impl Links {
@@ -214,16 +232,25 @@
     }
 
     /// Queues a frame. Returns false if it was dropped because the queue is full or there are too
-    /// many connections.
-    pub fn send(&mut self, to: SocketAddr, frame: Vec<u8>) -> bool {
+    /// many addresses.
+    pub fn send(&mut self, to: SocketAddr, frame: Frame) -> bool {
         if !self.links.contains_key(&to) {
             if self.links.len() >= MAX_LINKS {
                 return false;
             }
-            self.links.insert(to, self.connect(to));
+            let link = Link {
+                ordered: self.connect(to),
+                unordered: self.connect(to),
+            };
+            self.links.insert(to, link);
+        }
+        let Some(link) = self.links.get(&to) else {
+            return false;
+        };
+        match frame.unordered {
+            true => link.unordered.send(frame.bytes),
+            false => link.ordered.send(frame.bytes),
         }
-        let link = self.links.get(&to);
-        link.is_some_and(|link| link.try_send(frame).is_ok())
     }
 
     /// Greets the replica at an address. Returns `None` if it does not answer in time.
@@ -246,15 +273,15 @@
         }
     }
 
-    /// Starts the task that sends to an address. Returns its queue.
-    fn connect(&self, to: SocketAddr) -> mpsc::Sender<Vec<u8>> {
-        let (tx, rx) = mpsc::channel(LINK_QUEUE_FRAMES);
+    /// Starts a task that sends to an address. Returns its queue.
+    fn connect(&self, to: SocketAddr) -> FrameSender {
+        let (tx, queue) = frame_queue();
         let own_address = self.own_address;
         let faults = self.faults.clone();
         if let Some(channel) = channel(to) {
             tokio::spawn(async move {
                 let client = PeerClient::new(channel).max_encoding_message_size(MAX_MESSAGE_BYTES);
-                send_frames(client, to, rx, || faults.is_cut(own_address, to)).await;
+                send_frames(client, to, queue, || faults.is_cut(own_address, to)).await;
             });
         }
         tx
@@ -278,17 +305,15 @@
 async fn send_frames(
     mut client: PeerClient<Channel>,
     to: SocketAddr,
-    mut queue: mpsc::Receiver<Vec<u8>>,
+    mut queue: FrameReceiver,
     is_cut: impl Fn() -> bool,
 ) {
-    let timeout = Duration::from_millis(CALL_TIMEOUT_MS);
     let mut backoff = MIN_BACKOFF_MS;
-    let mut frames = Vec::new();
-    while queue.recv_many(&mut frames, MAX_BATCH_FRAMES).await > 0 {
-        let frames = std::mem::take(&mut frames);
+    while let Some(frames) = queue.batch().await {
         if is_cut() {
             continue;
         }
+        let timeout = call_timeout(&frames);
         let call = client.exchange(proto::PeerFrames { frames });
         if matches!(tokio::time::timeout(timeout, call).await, Ok(Ok(_))) {
             backoff = MIN_BACKOFF_MS;
@@ -302,6 +327,12 @@
         let delay = half + jitter(half);
         tokio::time::sleep(delay).await;
         backoff = (backoff * 2).min(MAX_BACKOFF_MS);
-        while queue.try_recv().is_ok() {}
+        queue.clear();
     }
 }
+
+/// Returns how long a call with these frames may take.
+fn call_timeout(frames: &[Vec<u8>]) -> Duration {
+    let size: u64 = frames.iter().map(|frame| frame.len() as u64).sum();
+    Duration::from_millis(CALL_TIMEOUT_MS + size / MIN_BYTES_PER_MS)
+}
--- a/crates/fleet/tests/replica_support/mod.rs
+++ b/crates/fleet/tests/replica_support/mod.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -31,6 +32,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 
@@ -69,40 +71,105 @@
     pub relays: Vec<Vec<Relay>>,
 }
 
+/// Maximum number of bytes that a slow uplink forwards at once.
+const UPLINK_PIECE_BYTES: usize = 8 << 10;
+
+/// The link on which a replica sends. The relays of one sender share it.
+#[derive(Default)]
+pub struct Uplink {
+    /// Bytes per second; zero if there is no limit.
+    rate: AtomicU64,
+    /// When it is free again.
+    free_at: Mutex<Option<Instant>>,
+}
+
+impl Uplink {
+    /// Limits the bytes per second. Zero removes the limit.
+    pub fn set_rate(&self, rate: u64) {
+        self.rate.store(rate, Ordering::Relaxed);
+    }
+
+    /// Returns the maximum number of bytes to forward at once.
+    fn piece(&self, buffer: usize) -> usize {
+        match self.rate.load(Ordering::Relaxed) {
+            0 => buffer,
+            _ => buffer.min(UPLINK_PIECE_BYTES),
+        }
+    }
+
+    /// Waits until this many bytes have passed.
+    async fn pass(&self, count: usize) {
+        let rate = self.rate.load(Ordering::Relaxed);
+        if rate == 0 {
+            return;
+        }
+        let time = Duration::from_secs_f64(count as f64 / rate as f64);
+        let passed = {
+            let mut free_at = self.free_at.lock().unwrap();
+            let now = Instant::now();
+            let passed = free_at.map_or(now, |at| at.max(now)) + time;
+            *free_at = Some(passed);
+            passed
+        };
+        tokio::time::sleep_until(passed).await;
+    }
+}
+
 /// Forwards TCP connections to an address and counts their bytes in both directions.
 pub struct Relay {
     pub address: SocketAddr,
     pub bytes: Arc<AtomicU64>,
+    /// Carries what is sent to the address.
+    pub uplink: Arc<Uplink>,
 }
 
 impl Relay {
-    async fn start(target: SocketAddr) -> Self {
+    async fn start(target: SocketAddr, uplink: Arc<Uplink>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let bytes = Arc::new(AtomicU64::new(0));
         let total = Arc::clone(&bytes);
+        let shared = Arc::clone(&uplink);
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
                 let total = Arc::clone(&total);
+                let uplink = Arc::clone(&shared);
                 tokio::spawn(async move {
-                    let server = TcpStream::connect(target).await.unwrap();
+                    let Ok(server) = TcpStream::connect(target).await else {
+                        return;
+                    };
                     let _ = (client.set_nodelay(true), server.set_nodelay(true));
                     let (client_read, client_write) = client.into_split();
                     let (server_read, server_write) = server.into_split();
-                    let outbound = copy_and_count(client_read, server_write, &total);
-                    let inbound = copy_and_count(server_read, client_write, &total);
+                    let outbound = copy_and_count(client_read, server_write, &total, &uplink);
+                    let unlimited = Uplink::default();
+                    let inbound = copy_and_count(server_read, client_write, &total, &unlimited);
                     tokio::join!(outbound, inbound);
                 });
             }
         });
-        Self { address, bytes }
+        Self {
+            address,
+            bytes,
+            uplink,
+        }
     }
 }
 
 /// Copies bytes until the connection ends, and adds their number to `total`.
-async fn copy_and_count(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, total: &AtomicU64) {
+async fn copy_and_count(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    total: &AtomicU64,
+    uplink: &Uplink,
+) {
     let mut buffer = vec![0; 64 << 10];
-    while let Ok(count @ 1..) = from.read(&mut buffer).await {
+    loop {
+        let piece = uplink.piece(buffer.len());
+        let Ok(count @ 1..) = from.read(&mut buffer[..piece]).await else {
+            return;
+        };
+        uplink.pass(count).await;
         total.fetch_add(count as u64, Ordering::Relaxed);
         if to.write_all(&buffer[..count]).await.is_err() {
             return;
@@ -146,8 +213,9 @@
         group.disks = (0..count).map(|_| DiskFaults::default()).collect();
         for _ in 0..if relayed { count } else { 0 } {
             let mut relays = Vec::new();
+            let uplink = Arc::new(Uplink::default());
             for target in &group.addresses {
-                relays.push(Relay::start(*target).await);
+                relays.push(Relay::start(*target, Arc::clone(&uplink)).await);
             }
             group.relays.push(relays);
         }
@@ -233,20 +301,33 @@
             .collect()
     }
 
+    /// Limits what each replica sends, in bytes per second.
+    pub fn set_rate(&self, rate: u64) {
+        for relay in self.relays.iter().flatten() {
+            relay.uplink.set_rate(rate);
+        }
+    }
+
     /// Disconnects a replica from all others, or connects it again.
     pub fn isolate(&self, at: usize, cut: bool) {
-        let own = self.addresses[at];
-        for other in self.addresses.iter().filter(|other| **other != own) {
-            if cut {
-                self.switch.cut(own, *other);
-                self.switch.cut(*other, own);
-            } else {
-                self.switch.heal(own, *other);
-                self.switch.heal(*other, own);
+        for other in (0..self.addresses.len()).filter(|other| *other != at) {
+            for (from, to) in [(at, other), (other, at)] {
+                let (from, to) = (self.addresses[from], self.route(from, to));
+                if cut {
+                    self.switch.cut(from, to);
+                } else {
+                    self.switch.heal(from, to);
+                }
             }
         }
     }
 
+    /// Returns the address at which one replica reaches another.
+    fn route(&self, from: usize, to: usize) -> SocketAddr {
+        let relay = self.relays.get(from).map(|relays| relays[to].address);
+        relay.unwrap_or(self.addresses[to])
+    }
+
     /// Submits a command to the given replicas in turn until one of them, the leader, accepts it.
     pub async fn submit(&self, among: &[usize], command: &Command) -> Reply {
         let work = async {
