--- a/crates/core/tests/replica_window.rs
+++ b/crates/core/tests/replica_window.rs
@@ -1,5 +1,5 @@
 //! What a leader sends to a follower that lags by many large entries.
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::panic, clippy::unwrap_used)]
 
 use std::sync::Arc;
 
@@ -146,11 +146,11 @@
 
 /// Returns the last index of the entries in messages.
 fn last_index(messages: &[Message]) -> Option<Index> {
-    let entries = messages.iter().filter_map(|message| match message {
-        Message::Append(append) => append.entries.last(),
+    let mut latest_first = messages.iter().rev();
+    latest_first.find_map(|message| match message {
+        Message::Append(append) => append.entries.last().map(|entry| entry.at.index),
         _ => None,
-    });
-    entries.last().map(|entry| entry.at.index)
+    })
 }
 
 /// While the follower catches up, one answer after the other, what it has not answered stays small.
--- a/crates/fleet/tests/slow_links.rs
+++ b/crates/fleet/tests/slow_links.rs
@@ -1,6 +1,6 @@
 //! Groups of replicas whose links carry 10 Mbit/s: followers that lag by megabytes catch up, and changes
 //! and reads go on meanwhile.
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::expect_used, clippy::panic, clippy::unwrap_used)]
 
 mod replica_support;
 
