A start in place that nobody heard of has no known version

Streams of v1 went on at an upstream that had crashed behind a cut from the control hosts and started again under its id and address with v2; five or six of 60 streams held events of both.

Cause: the version of an upstream was that of its last known start, whatever the router had seen since. Neither the id nor an answer tells two starts apart.

Fix: after a connection to an upstream breaks, in an exchange or while it is kept, the router tries another one 20 ms later (once in 120 ms at most for each start). If that or any other connection is refused, no process listens there: the last known start is in doubt at this router. Its version is unknown, for streams that would go on there and for those that it begins, until a later start is heard of, or two heartbeats of the same start, half a second apart, the first of them 2 s after the refusal or later. Resent versions do not end a doubt. Upstreams that break answers and run on are not in doubt, so that streams go on there as before (the tests of versions break every worker's answers); time-outs of an answer and 503 say nothing. A caller that only a doubt keeps from going on gets 503 version_unknown with Retry-After 1 s.

The share of streams that go on beside upstreams that break answers was not measured beyond the tests.

--- a/crates/core/src/upstream/table.rs
+++ b/crates/core/src/upstream/table.rs
@@ -265,7 +265,7 @@
 
 /// Usual maximum delay of a heartbeat. One that arrives now shows that its sender had not crashed
 /// this long ago.
-const HEARTBEAT_LAG: Millis = Millis(2_000);
+pub(super) const HEARTBEAT_LAG: Millis = Millis(2_000);
 /// Maximum number of cache events of each kind taken from one announcement.
 const MAX_CACHE_EVENTS: usize = 256;
 
@@ -345,6 +345,7 @@
             let sent = now.saturating_sub(HEARTBEAT_LAG);
             self.quarantine.refute(&upstream, incarnation, sent);
             self.parts.refute(now, &upstream, incarnation, sent);
+            self.releases.confirm(now, &upstream, incarnation);
         }
         if known != Some(incarnation)
             && let Some(last) = incarnation.0.checked_sub(1)
--- a/crates/core/src/upstream/table/releases.rs
+++ b/crates/core/src/upstream/table/releases.rs
@@ -1,5 +1,7 @@
 //! Software versions of the upstreams in the table.
 
+use std::net::SocketAddr;
+
 use crate::id::Release;
 use crate::id::Upstream;
 use crate::unit::Incarnation;
@@ -21,6 +23,34 @@
         self.releases.get(upstream, incarnation)
     }
 
+    /// Records that the address of a start refused a connection: the start has ended, and another one
+    /// may answer there from now on. Returns the upstreams whose start was not in doubt before.
+    pub fn doubt_start(
+        &mut self,
+        now: Millis,
+        address: SocketAddr,
+        incarnation: Incarnation,
+    ) -> Vec<Upstream> {
+        let known = self.rows.values().map(|row| &row.announcement);
+        let affected =
+            known.filter(|known| known.address == address && known.incarnation == incarnation);
+        affected
+            .map(|known| &known.upstream)
+            .filter(|upstream| self.releases.doubt(now, upstream, incarnation))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns whether an upstream that a request was not tried at stated the software version that
+    /// the request is tied to, though its start may have ended since.
+    pub fn has_doubted_candidate(&self, criteria: &Criteria) -> bool {
+        self.rows.iter().any(|(upstream, row)| {
+            row.offers(&criteria.kind)
+                && !criteria.avoid.contains(upstream)
+                && self.releases.may_allow(criteria, &row.announcement)
+        })
+    }
+
     /// Returns whether an upstream that a request was not tried at might take it, now or later.
     pub fn has_candidate(&self, criteria: &Criteria) -> bool {
         self.rows.iter().any(|(upstream, row)| {
--- a/crates/core/tests/upstream_release.rs
+++ b/crates/core/tests/upstream_release.rs
@@ -261,6 +261,107 @@
     assert_eq!(table.release_notices(Millis(3)).count(), 0);
 }
 
+/// What a router learns of an upstream.
+enum Event {
+    /// The address of this start refused a connection.
+    Refused(u64),
+    /// A heartbeat of this start arrived.
+    Heard(u64),
+    /// Another node resent the version of this start.
+    Resent(u64),
+}
+
+use Event::Heard;
+use Event::Refused;
+use Event::Resent;
+
+/// Returns the version of start 2 of an upstream, which stated v1, after these events.
+fn known_after(events: &[(u64, Event)]) -> Option<String> {
+    let mut table = table(&[V1]);
+    for (seq, (at, event)) in (2..).zip(events) {
+        match event {
+            Refused(start) => {
+                let Announcement { address, .. } = announcement(0, *start);
+                table.doubt_start(Millis(*at), address, Incarnation(*start));
+            }
+            Heard(start) => {
+                let heartbeat = Announcement {
+                    seq,
+                    ..announcement(0, *start)
+                };
+                table.observe(Millis(*at), heartbeat);
+            }
+            Resent(start) => {
+                table.observe_release(Millis(*at), &notice(*start, V1));
+            }
+        }
+    }
+    let release = table.release(&Upstream::from("w0"), Incarnation(2));
+    release.map(Release::to_string)
+}
+
+/// Defines a test for each named case: what a router learns of an upstream that runs v1, each with its
+/// time, and the version that is known after it.
+macro_rules! doubts {
+    ($($name:ident: [$($event:expr),* $(,)?] => $known:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(known_after(&[$($event),*]), $known.map(str::to_owned));
+            }
+        )*
+    };
+}
+
+doubts! {
+    refused_connection_puts_a_start_in_doubt: [(10, Refused(2))] => NONE;
+    refusal_of_another_start_does_not: [(10, Refused(1))] => V1;
+    resent_version_does_not_end_a_doubt: [(10, Refused(2)), (3_000, Resent(2)), (4_000, Resent(2))] => NONE;
+    heartbeats_sent_before_do_not_end_a_doubt: [(10, Refused(2)), (1_000, Heard(2)), (2_009, Heard(2))] => NONE;
+    one_late_heartbeat_does_not_end_a_doubt: [(10, Refused(2)), (9_000, Heard(2))] => NONE;
+    two_late_heartbeats_at_once_do_not_end_a_doubt: [(10, Refused(2)), (9_000, Heard(2)), (9_499, Heard(2))] => NONE;
+    two_heartbeats_end_a_doubt: [(10, Refused(2)), (2_010, Heard(2)), (2_510, Heard(2))] => V1;
+    next_refusal_begins_a_doubt_anew: [(10, Refused(2)), (2_010, Heard(2)), (2_100, Refused(2)), (2_600, Heard(2))] => NONE;
+    doubt_ended_by_heartbeats_begins_anew: [(10, Refused(2)), (2_010, Heard(2)), (2_510, Heard(2)), (2_600, Refused(2))] => NONE;
+}
+
+#[test]
+fn start_in_doubt_takes_no_tied_stream_and_other_requests() {
+    let mut table = table(&[V1, V1, V2]);
+    let tied = criteria(V1, &[]);
+    let pick = choose(&mut table, &criteria(V1, &[1])).unwrap();
+    let Announcement { address, .. } = announcement(0, 2);
+    let doubted = table.doubt_start(Millis(3), address, Incarnation(2));
+    assert_eq!(doubted, [Upstream::from("w0")]);
+    assert!(!table.may_send(Millis(3), &pick));
+    assert_eq!(chosen(&mut table, &tied), ["w1"]);
+    assert!(!table.has_doubted_candidate(&criteria(V2, &[2])));
+    assert!(!table.has_candidate(&criteria(V1, &[1])));
+    assert!(table.has_doubted_candidate(&criteria(V1, &[1])));
+    // The other one serves the version and was tried.
+    assert_eq!(
+        choose(&mut table, &criteria(V1, &[1])).unwrap_err(),
+        ChoiceError::NoneUsable
+    );
+    let Announcement { address, .. } = announcement(1, 2);
+    table.doubt_start(Millis(3), address, Incarnation(2));
+    assert_eq!(
+        choose(&mut table, &tied).unwrap_err(),
+        ChoiceError::NoneKnown
+    );
+    let pick = choose(&mut table, &criteria(NONE, &[1, 2])).unwrap();
+    assert_eq!((pick.upstream.as_str(), pick.release), ("w0", None));
+}
+
+#[test]
+fn later_start_is_not_in_doubt() {
+    let mut table = table(&[V1]);
+    let Announcement { address, .. } = announcement(0, 2);
+    table.doubt_start(Millis(3), address, Incarnation(2));
+    start(&mut table, 0, 3, V1);
+    assert_eq!(chosen(&mut table, &criteria(V1, &[])), ["w0"]);
+}
+
 /// Returns the bytes of a packet with one fact.
 fn packet_size(fact: Fact) -> usize {
     let packet = Packet {
--- a/crates/fleet/src/controllers/upstreams.rs
+++ b/crates/fleet/src/controllers/upstreams.rs
@@ -323,6 +323,21 @@
         table.release(&pick.upstream, pick.incarnation).cloned()
     }
 
+    /// Records that the address of a start refused a connection.
+    pub fn doubt_start(&self, address: SocketAddr, incarnation: Incarnation) {
+        let now = self.timer.now();
+        let doubted = self.table().doubt_start(now, address, incarnation);
+        for upstream in doubted {
+            self.metrics.announcements.add("doubted");
+            log::info!(upstream:% = upstream, start = incarnation.0; "upstream may have started again");
+        }
+    }
+
+    /// See [`Table::has_doubted_candidate`].
+    pub fn has_doubted_candidate(&self, criteria: &Criteria) -> bool {
+        self.table().has_doubted_candidate(criteria)
+    }
+
     /// See [`Table::has_candidate`].
     pub fn has_candidate(&self, criteria: &Criteria) -> bool {
         self.table().has_candidate(criteria)
--- a/crates/fleet/src/edges/http/mod.rs
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -6,13 +6,14 @@
 //! which it decides whether they are complete. All of them bound bytes and time. [`not_run`] is the
 //! evidence that an upstream did not run a request, and [`pause`] the time for which it wants none. [`framing`] tells how the end of a body is
 //! marked, [`memory`] bounds what the bodies of all answers take, and [`events`] splits a body of server-sent events. [`shared`] lets [`pool`] look at a
-//! connection before it is used again, and [`progress`] bounds what is read without a part of an answer.
+//! connection before it is used again, [`ended`] finds upstreams that have ended by refused connections, and [`progress`] bounds what is read without a part of an answer.
 
 pub mod answer;
 pub mod body;
 pub mod caller;
 pub mod client;
 pub mod counted;
+pub mod ended;
 pub mod events;
 pub mod framing;
 pub mod interim;
--- a/crates/fleet/src/edges/http/pool.rs
+++ b/crates/fleet/src/edges/http/pool.rs
@@ -11,6 +11,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -28,6 +30,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::edges::http::ended::EndedStarts;
+use crate::edges::http::ended::is_refusal;
 use crate::edges::http::interim::limit_interim;
 use crate::edges::http::progress::Progress;
 use crate::edges::http::shared::SharedStream;
@@ -36,7 +40,7 @@
 
 /// Bound on the time to open a connection. It allows many round trips within a region. A full
 /// listen queue drops the SYN, which is resent only after a second; another upstream is faster.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Idle time after which a connection is closed, unless the upstream announces its own limit.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -98,6 +102,8 @@
     pub has_ids: bool,
     /// Hashes of the ids of the requests that it was taken for.
     carried: Vec<u64>,
+    /// Whether it is idle in the pool, so that its end is the doing of the upstream.
+    is_idle: Arc<AtomicBool>,
 }
 
 /// An idle connection and the time until which it may be reused.
@@ -111,6 +117,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     idle: Arc<Mutex<Map<PoolKey, Vec<Idle>>>>,
+    /// Starts of upstreams that have ended, as far as connections tell. The owner reads them.
+    pub ended: EndedStarts,
 }
 
 impl Pool {
@@ -129,7 +137,7 @@
         };
         let mut connection = match idle {
             Some(connection) => connection,
-            None => open_connection(key).await?,
+            None => self.open_connection(key).await?,
         };
         connection.carried.push(id);
         Ok(connection)
@@ -141,13 +149,15 @@
         let now = Instant::now();
         let mut all = self.lock();
         let idle = all.get_mut(&key)?;
-        idle.retain(|one| now < one.expires && !one.connection.sender.is_closed());
+        idle.retain(|one| self.may_use(one, now));
         while let Some(found) = idle.iter().rposition(|one| one.connection.suits(id)) {
             let connection = idle.remove(found).connection;
             // What has arrived belongs to no request, and a closed connection loses one.
+            connection.is_idle.store(false, Ordering::Release);
             if connection.probe.is_quiet() {
                 return Some(connection);
             }
+            self.ended.check(key);
         }
         None
     }
@@ -173,6 +183,7 @@
         let mut all = self.lock();
         let idle = all.entry(connection.key).or_default();
         if idle.len() < MAX_IDLE_PER_UPSTREAM {
+            connection.is_idle.store(true, Ordering::Release);
             idle.push(Idle {
                 connection,
                 expires,
@@ -184,16 +195,78 @@
     pub fn expire(&self) {
         let now = Instant::now();
         self.lock().retain(|_, idle| {
-            idle.retain(|one| now < one.expires && !one.connection.sender.is_closed());
+            idle.retain(|one| self.may_use(one, now));
             !idle.is_empty()
         });
     }
 
+    /// Returns whether an idle connection is open and not expired. One that the upstream closed
+    /// before that may be the trace of its end.
+    fn may_use(&self, idle: &Idle, now: Instant) -> bool {
+        let is_closed = idle.connection.sender.is_closed();
+        if is_closed && now < idle.expires {
+            self.ended.check(idle.connection.key);
+        }
+        !is_closed && now < idle.expires
+    }
+
+    /// Opens a connection, and watches it as long as it is open.
+    async fn open_connection(&self, key: PoolKey) -> Result<Connection, ExchangeError> {
+        let address = key.address;
+        let unreachable = |error| ExchangeError::Unreachable { address, error };
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let connected = match connecting.await {
+            Ok(connected) => connected,
+            Err(_) => return Err(unreachable(std::io::ErrorKind::TimedOut.into())),
+        };
+        let stream = connected.map_err(|error| {
+            if is_refusal(&error) {
+                self.ended.record(key);
+            }
+            unreachable(error)
+        })?;
+        socket::set_options(&stream);
+        let progress = Progress::default();
+        let (stream, probe) = SharedStream::new(stream, progress.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
+        let (sender, connection) =
+            handshake.map_err(|error| unreachable(std::io::Error::other(error)))?;
+        let is_idle = Arc::new(AtomicBool::new(false));
+        let watched = Arc::clone(&is_idle);
+        let ended = self.ended.clone();
+        tokio::spawn(async move {
+            // The request that waits for a response gets the error. Without one, nobody needs it.
+            let _ = connection.await;
+            if watched.load(Ordering::Acquire) {
+                ended.check(key);
+            }
+        });
+        Ok(Connection {
+            sender,
+            probe,
+            progress,
+            key,
+            exchanges: 0,
+            has_ids: false,
+            carried: Vec::new(),
+            is_idle,
+        })
+    }
+
     fn lock(&self) -> MutexGuard<'_, Map<PoolKey, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.is_idle.store(false, Ordering::Release);
+    }
+}
+
 impl Connection {
     /// Returns whether a request with this id can be sent now, and the connection was not taken for
     /// one with the same id.
@@ -227,38 +300,6 @@
     }
 }
 
-async fn open_connection(key: PoolKey) -> Result<Connection, ExchangeError> {
-    let address = key.address;
-    let unreachable = |error| ExchangeError::Unreachable { address, error };
-    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let stream = match connecting.await {
-        Ok(stream) => stream.map_err(unreachable)?,
-        Err(_) => return Err(unreachable(std::io::ErrorKind::TimedOut.into())),
-    };
-    socket::set_options(&stream);
-    let progress = Progress::default();
-    let (stream, probe) = SharedStream::new(stream, progress.clone());
-    let handshake = http1::Builder::new()
-        .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await;
-    let (sender, connection) =
-        handshake.map_err(|error| unreachable(std::io::Error::other(error)))?;
-    tokio::spawn(async move {
-        // The request that waits for a response gets the error. Without one, nobody needs it.
-        let _ = connection.await;
-    });
-    Ok(Connection {
-        sender,
-        probe,
-        progress,
-        key,
-        exchanges: 0,
-        has_ids: false,
-        carried: Vec::new(),
-    })
-}
-
 fn hash_id(id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     hasher.write(id.as_bytes());
--- a/crates/fleet/src/gateway/exchange.rs
+++ b/crates/fleet/src/gateway/exchange.rs
@@ -50,6 +50,10 @@
 /// latency.
 const ATTEMPT_TIMEOUT_TARGETS: u64 = 2;
 
+/// Retry delay for a caller that takes up a stream while every upstream of its version may have
+/// started again. Heartbeats show it after some seconds.
+const DOUBT_RETRY_AFTER: Millis = Millis(1_000);
+
 /// Extra wait after the deadline for an upstream's own timeout answer: a round trip within a region
 /// and the upstream's delay in detecting the timeout.
 const DEADLINE_SLACK: Millis = Millis(80);
@@ -73,10 +77,26 @@
         self.pick.release.as_ref().map_or("", Release::as_str)
     }
 
+    /// Returns the start of the chosen upstream, for its connections.
+    fn pool_key(&self) -> PoolKey {
+        PoolKey {
+            address: self.pick.address,
+            incarnation: self.pick.incarnation.0,
+        }
+    }
+
+    /// Checks in the background whether the upstream has ended, since a connection broke.
+    pub fn check_start(&self) {
+        self.gateway.pool.ended.check(self.pool_key());
+    }
+
     /// Records the outcome of the attempt, and tells other routers what it shows, so that a request
     /// or a prompt part that crashes upstreams is quarantined everywhere.
     pub fn end(mut self, outcome: AttemptOutcome) {
         self.pending = false;
+        if outcome == AttemptOutcome::Broken {
+            self.check_start();
+        }
         self.gateway.upstreams.end(self.pick.attempt, outcome);
         self.gateway.nodes.share_evidence();
     }
@@ -306,6 +326,11 @@
                 let wait = gateway.upstreams.turn_away_paused(id, &kind, until);
                 Refusal::Paused { wait }
             }
+            ChoiceError::NoneKnown if gateway.upstreams.has_doubted_candidate(&job.criteria()) => {
+                Refusal::VersionUnknown {
+                    wait: Some(DOUBT_RETRY_AFTER),
+                }
+            }
             ChoiceError::NoneKnown if job.release.is_some() => Refusal::VersionGone,
             ChoiceError::Full => Refusal::Full,
             ChoiceError::NoneKnown | ChoiceError::NoneUsable => Refusal::NoUpstream,
@@ -323,13 +348,9 @@
 
 /// Opens a connection to the chosen upstream or reuses an idle one.
 async fn connect(job: &mut Job, attempt: &AttemptGuard) -> Result<Connection, AttemptFailure> {
-    let place = PoolKey {
-        address: attempt.pick.address,
-        incarnation: attempt.pick.incarnation.0,
-    };
     let gateway = std::sync::Arc::clone(&job.gateway);
     let id = &job.metadata.attempt_id;
-    match gateway.pool.connect(place, id).await {
+    match gateway.pool.connect(attempt.pool_key(), id).await {
         Ok(connection) => {
             let is_kept = connection.exchanges > 0;
             let label = if is_kept { "kept" } else { "new" };
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -14,6 +14,7 @@
 use chestnutnotch_core::roster::NodeFact;
 use chestnutnotch_core::roster::Role;
 use chestnutnotch_core::route::PublishedPlan;
+use chestnutnotch_core::unit::Incarnation;
 use chestnutnotch_core::unit::Millis;
 use chestnutnotch_core::unit::Tokens;
 use chestnutnotch_core::upstream::TableConfig;
@@ -219,6 +220,7 @@
         );
         tokio::spawn(serve_nodes(rpc, node));
         tokio::spawn(run_maintenance(Arc::clone(&gateway)));
+        tokio::spawn(observe_ended_starts(Arc::clone(&gateway)));
         let nonce = getrandom::u64()?;
         tokio::spawn(open_to_callers(
             Arc::clone(&gateway),
@@ -465,6 +467,16 @@
     }
 }
 
+/// Tells the table of upstreams which starts refused connections.
+async fn observe_ended_starts(gateway: Arc<Gateway>) {
+    loop {
+        for key in gateway.pool.ended.next().await {
+            let start = Incarnation(key.incarnation);
+            gateway.upstreams.doubt_start(key.address, start);
+        }
+    }
+}
+
 /// Runs a control host until `stop` resolves. Of the settings in `reload`, only the seeds can
 /// change while it runs.
 ///
--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -311,8 +311,11 @@
         let upstreams = &self.job.gateway.upstreams;
         match self.job.release {
             None => Some("version_unknown"),
-            Some(_) if !upstreams.has_candidate(&self.job.criteria()) => Some("version_gone"),
-            Some(_) => None,
+            Some(_) if upstreams.has_candidate(&self.job.criteria()) => None,
+            Some(_) if upstreams.has_doubted_candidate(&self.job.criteria()) => {
+                Some("version_doubted")
+            }
+            Some(_) => Some("version_gone"),
         }
     }
 
--- a/crates/fleet/src/gateway/verdict.rs
+++ b/crates/fleet/src/gateway/verdict.rs
@@ -131,6 +131,7 @@
         return AttemptFailure::maybe_ran(Refusal::AnswerLost);
     };
     job.reason = "closed_before";
+    attempt.check_start();
     // The same upstream may be tried again.
     job.tried.pop();
     job.sends -= 1;
--- a/crates/fleet/tests/pool.rs
+++ b/crates/fleet/tests/pool.rs
@@ -20,11 +20,16 @@
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 /// Time in which bytes cross the loopback interface.
 const TRANSFER_TIME: Duration = Duration::from_millis(50);
 
+/// Time in which the pool checks an upstream whose connection broke.
+const CHECK_TIME: Duration = Duration::from_secs(1);
+
 /// What happens to an idle connection at the upstream.
 type Later = fn(&mut TcpStream);
 
@@ -88,3 +93,52 @@
     connection_of_an_upstream_that_repeats_no_ids_is_not_used_again: |_| {}, false, "next" => false;
     connection_is_not_used_for_a_request_without_an_id: |_| {}, true, "" => false;
 }
+
+/// What an upstream does with its listener and a connection.
+type End = fn(tokio::net::TcpListener, tokio::net::TcpStream) -> Option<tokio::net::TcpListener>;
+
+/// Keeps a connection after an answer, lets the upstream end it, and checks whether the pool finds
+/// that the upstream has ended.
+macro_rules! found_ended {
+    ($($name:ident: $end:expr => $expected:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let end: End = $end;
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let key = PoolKey { address, incarnation: 1 };
+            let pool = Pool::default();
+            let mut connection = pool.connect(key, "first").await.unwrap();
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let answered = async {
+                assert!(stream.read(&mut [0; 4096]).await.unwrap() > 0);
+                stream.write_all(ANSWER).await.unwrap();
+            };
+            tokio::join!(exchange(&mut connection), answered);
+            connection.has_ids = true;
+            pool.keep(connection, &HeaderMap::new());
+            let _listener = end(listener, stream);
+            let found = tokio::time::timeout(CHECK_TIME, pool.ended.next()).await;
+            assert_eq!(found.is_ok_and(|found| found == [key]), $expected);
+        }
+    )*};
+}
+
+found_ended! {
+    closed_connection_and_refused_check_show_an_end: |_, _| None => true;
+    closed_connection_alone_does_not_show_an_end: |listener, _| Some(listener) => false;
+}
+
+#[tokio::test]
+async fn refused_connection_shows_an_end() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let key = PoolKey {
+        address,
+        incarnation: 1,
+    };
+    let pool = Pool::default();
+    assert!(pool.connect(key, "first").await.is_err());
+    assert_eq!(pool.ended.next().await, [key]);
+}
