--- a/crates/core/src/ledger/allotment.rs
+++ b/crates/core/src/ledger/allotment.rs
@@ -17,17 +17,6 @@
 /// draw half of a budget ahead, the loss of all of them leaves five sixths of it.
 const EXPOSED_DIVISOR: u64 = 3;
 
-/// Holders without known demand together may spend at most the rest of a budget divided by this
-/// without a report.
-const LOST_DIVISOR: u128 = 6;
-
-/// Time from the first reservation after which the demand since then tells how much to cover.
-const MIN_DEMAND_MILLIS: Millis = Millis(2_000);
-
-/// Largest reservations that a young holder may make beyond its demand so far, as the demand is known
-/// from a few requests only.
-const SPARE_RESERVATIONS: u64 = 2;
-
 /// Time without an answer after which a report is repeated.
 const REPORT_TIMEOUT_MILLIS: Millis = Millis(500);
 
@@ -78,7 +67,6 @@
     last_report: Option<SentReport>,
     status: Option<BudgetStatus>,
     rate: Rate,
-    demand: Demand,
     /// Time of the last reservation.
     last_used: Millis,
 }
@@ -110,15 +98,6 @@
     current: Tokens,
 }
 
-/// Reservations made so far. Unlike the rate of spending, they count unfinished attempts.
-#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
-struct Demand {
-    /// Time of the first; none before it.
-    since: Option<Millis>,
-    /// Tokens reserved so far, cumulative.
-    reserved: Tokens,
-}
-
 /// Average rate of recent spending.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 struct Rate {
@@ -182,7 +161,6 @@
         self.largest = self.largest.max(worst_case);
         if free >= worst_case && exposed <= self.exposure_limit {
             self.reserved += worst_case;
-            self.demand.record(now, worst_case);
             self.last_used = now;
             return Ok(());
         }
@@ -348,12 +326,10 @@
             let max_cover = Tokens(held.0 / EXPOSED_DIVISOR);
             let cover = match self.rate.is_warming_up(now, policy.rate_window) {
                 // The rate is not reliable yet.
-                true => self.young_cover(now, policy),
-                false => self.rate.projected(policy.exposure_seconds),
+                true => max_cover,
+                false => max_cover.min(self.rate.projected(policy.exposure_seconds)),
             };
-            // No request waits for what is drawn ahead of the first one.
-            let waiting = self.need.min(self.largest);
-            return self.exposed() + waiting + cover.min(max_cover);
+            return self.exposed() + self.need + cover;
         }
         let desired = self.peak.doubled();
         let steps = desired.0.div_ceil(EXPOSURE_STEP_TOKENS.0).max(1);
@@ -361,35 +337,6 @@
         desired.max(self.exposed())
     }
 
-    /// Returns what a holder may spend without a report until its rate of spending is known: what
-    /// the demand so far predicts, and at least [`Self::unused_cover`] until that tells.
-    fn young_cover(&self, now: Millis, policy: &DrawPolicy) -> Tokens {
-        let Some(since) = self.demand.since else {
-            return self.unused_cover(policy);
-        };
-        let span = now.saturating_sub(since);
-        let spare = Tokens(self.largest.0.saturating_mul(SPARE_RESERVATIONS));
-        let expected = self.demand.projected(span, policy.exposure_seconds) + spare;
-        match span < MIN_DEMAND_MILLIS {
-            true => expected.max(self.unused_cover(policy)),
-            false => expected,
-        }
-    }
-
-    /// Returns what a holder without known demand may spend without a report. If all holders of the
-    /// budget are as this one, the loss of all of them leaves five sixths of it.
-    fn unused_cover(&self, policy: &DrawPolicy) -> Tokens {
-        let most = Tokens(policy.min_ahead.0 / EXPOSED_DIVISOR);
-        let Some(status) = &self.status else {
-            return most;
-        };
-        let held = u128::from((self.free() + self.reserved).0);
-        let left = u128::from((status.unallotted + status.unspent).0);
-        let divisor = u128::from(status.unspent.0) * LOST_DIVISOR;
-        let fair = (held * left).checked_div(divisor).unwrap_or(0);
-        most.min(Tokens(u64::try_from(fair).unwrap_or(u64::MAX)))
-    }
-
     /// Applies the ledger's answer. An answer to an older report can only raise the grant.
     pub fn apply_grant(&mut self, now: Millis, grant: &Grant, fault: Option<Fault>) {
         self.granted = self.granted.max(grant.granted);
@@ -448,22 +395,6 @@
     }
 }
 
-impl Demand {
-    /// Records a reservation.
-    fn record(&mut self, now: Millis, amount: Tokens) {
-        self.since.get_or_insert(now);
-        self.reserved += amount;
-    }
-
-    /// Returns the tokens reserved in so many seconds if it goes on as in the `span` so far.
-    fn projected(&self, span: Millis, seconds: u64) -> Tokens {
-        let span = u128::from(span.max(MIN_DEMAND_MILLIS).0);
-        let millis = u128::from(seconds) * 1_000;
-        let projected = u128::from(self.reserved.0).saturating_mul(millis) / span;
-        Tokens(u64::try_from(projected).unwrap_or(u64::MAX))
-    }
-}
-
 impl Rate {
     /// Adds a sample to the average. It covers the whole past at first, and is an exponentially
     /// weighted average once the past is longer than `window`.
--- a/crates/core/src/ledger/draw_policy.rs
+++ b/crates/core/src/ledger/draw_policy.rs
@@ -12,8 +12,8 @@
     /// budget nears its end.
     pub ahead_seconds: u64,
     /// Seconds of recent spending that may go without a report, besides what is reserved. They let
-    /// a holder serve through a partition, and are unaccounted for when the holder is lost. Until
-    /// the rate of spending is known, the reservations so far tell. If zero, the exposure is twice the largest one of recent minutes.
+    /// a holder serve through a partition, and are unaccounted for when the holder is lost. If
+    /// zero, the exposure is twice the largest one of recent minutes.
     pub exposure_seconds: u64,
     /// Time between reports.
     pub interval: Millis,
