--- a/crates/cli/tests/fleet/harness/process.rs
+++ b/crates/cli/tests/fleet/harness/process.rs
@@ -95,6 +95,16 @@
         }
     }
 
+    /// Returns the peak of the resident memory, in kilobytes.
+    #[allow(dead_code, reason = "only the tests with crowds look at the memory")]
+    pub fn peak(&self) -> usize {
+        let id = self.child.as_ref().unwrap().id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.unwrap().trim().trim_end_matches(" kB");
+        kilobytes.parse().unwrap()
+    }
+
     fn signal(&self, signal: Signal) {
         let child = self.child.as_ref().unwrap();
         kill_process(Pid::from_child(child), signal).unwrap();
