Connections: count them by what they take, and leave room for the rest

Seen: within the bound on connections a process grew beyond its memory, and a machine that enforces it ends the process with all requests on it. 1,100 calls with documents in chunks take a control host of 64 MB to 74,528 kB, 1,100 complete bodies that wait for a worker a router to 70,056 kB, five waves of mixed crowds a router to 69,480 kB.

Cause: a connection was assumed to take 32 KiB. The HTTP library's read buffer doubles up to the limit on heads when reads fill it, and a second one is alive while a part of a body is handed on. The shares also added up to the whole memory (a quarter for requests, a quarter for answers, half for connections), with nothing for the process itself or for what the allocator keeps.

Change: a read takes 8 KiB at most, so that a buffer stays at 16 KiB. A connection counts 48 KiB. `shares` divides the memory in one place: a sixth each for requests and answers, a quarter for connections.

Ruled out: the limits of bodies alone, as the figures stayed near 66,000 kB with fewer connections and the shares of bodies as before.

--- a/crates/fleet/src/edges/http/caller.rs
+++ b/crates/fleet/src/edges/http/caller.rs
@@ -18,6 +18,10 @@
 
 use crate::edges::http::traffic::Traffic;
 
+/// Bytes that one read takes at most. The HTTP library doubles its read buffer when a read fills it, up
+/// to the limit on heads, and keeps a second buffer of that size while a part of a body is handed on.
+pub const MAX_READ_BYTES: usize = 8 << 10;
+
 /// TCP stream of a caller. Once [`ResetSwitch::turn_on`] was called, it is reset unless it is shut
 /// down first, also when the process is killed.
 ///
@@ -88,9 +92,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.traffic.add_received(buffer.filled().len() - before);
+        let most = buffer.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(most));
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut part);
+        let received = part.filled().len();
+        buffer.advance(received);
+        self.traffic.add_received(received);
         read
     }
 }
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -107,33 +107,6 @@
 /// Part of the grace time reserved for sending the last answers.
 const ANSWER_MARGIN: Millis = Millis(200);
 
-/// Part of the memory of the process that the bodies of answers may take. The rest is for buffers of
-/// the connections, and for all else.
-const ANSWER_MEMORY_DIVISOR: usize = 4;
-
-/// Part of the memory of a router that the bodies of requests may take.
-const REQUEST_MEMORY_DIVISOR: usize = 4;
-
-/// Part of the memory of a control host that the bodies of calls may take. Documents are decoded and
-/// copied while they are agreed on.
-const DOCUMENT_MEMORY_DIVISOR: usize = 8;
-
-/// Part of the memory of a process that the connections of callers may take.
-const CONNECTION_MEMORY_DIVISOR: usize = 2;
-
-/// Memory that a connection takes with its buffers and its request, in bytes.
-const CONNECTION_BYTES: usize = 32 << 10;
-
-/// Descriptors that are not for connections of callers and to upstreams.
-const RESERVED_DESCRIPTORS: usize = 200;
-
-/// Returns the bound on the connections of callers. Each may need one to an upstream.
-fn max_connections(memory: usize, descriptors: usize) -> usize {
-    let by_memory = memory / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
-    let by_descriptors = descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2;
-    by_memory.min(by_descriptors).max(1)
-}
-
 /// Time without a heartbeat after which an upstream counts as lost, while heartbeats of others
 /// still arrive. It spans several heartbeats, so that a single late one does no harm.
 const STALE_AFTER: Millis = Millis(5_000);
@@ -325,6 +298,7 @@
         window: Millis(settings.retries.window),
     };
     let reserved = settings.linger + ALLOTMENT_RETURN_MILLIS;
+    let shares = settings.shares();
     let room = RoomHandle::new(settings.link, timer.clone(), Arc::clone(&metrics));
     Gateway {
         routes: Routes::start(plan::Parts {
@@ -341,9 +315,9 @@
         upstreams: base.upstreams,
         pool: Pool::new(room.upstreams.clone()),
         room,
-        memory: AnswerMemory::new(settings.memory / ANSWER_MEMORY_DIVISOR),
-        bodies: RequestMemory::new(settings.memory / REQUEST_MEMORY_DIVISOR),
-        connections: max_connections(settings.memory, settings.descriptors),
+        memory: AnswerMemory::new(shares.answers()),
+        bodies: RequestMemory::new(shares.requests()),
+        connections: shares.connections(),
         nodes: base.nodes,
         retry_budgets: RetryBudgets::new(rules),
         hedging: Hedging::new(settings.extra_work.rules(), timer.clone()),
@@ -535,12 +509,13 @@
         None => Role::Registry,
     };
     let base = NodeBase::start(own, role, None, &timer, &metrics).await?;
+    let shares = settings.shares();
     let registry = Arc::new(Registry {
         dialect: Arc::clone(&dialect),
         nodes: base.nodes.clone(),
         control: base.control.clone(),
-        bodies: RequestMemory::new(settings.memory / DOCUMENT_MEMORY_DIVISOR),
-        connections: max_connections(settings.memory, settings.descriptors),
+        bodies: RequestMemory::new(shares.documents()),
+        connections: shares.connections(),
         centres: settings.centres.clone(),
         outage: Outage::new(timer.clone()),
     });
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 //! The daemons only parse arguments and call this crate.
 //!
 //! - [`settings`]: one TOML file for each process.
+//! - [`shares`]: how the memory and the descriptors of a process are divided.
 //! - [`timer`]: the source of time and of ticks for all parts of a process.
 //! - [`runtime`]: a runtime on a thread of its own.
 //! - [`edges`]: input and output of a process: HTTP, RPC, gossip, disk.
@@ -28,4 +29,5 @@
 pub mod router;
 pub mod runtime;
 pub mod settings;
+pub mod shares;
 pub mod timer;
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::shares::Shares;
+
 /// Settings of one process.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -240,6 +242,26 @@
     pub descriptors: usize,
 }
 
+impl GatewaySettings {
+    /// Returns how the memory and the descriptors of the process are divided.
+    pub fn shares(&self) -> Shares {
+        Shares {
+            memory: self.memory,
+            descriptors: self.descriptors,
+        }
+    }
+}
+
+impl RegistrySettings {
+    /// Returns how the memory and the descriptors of the process are divided.
+    pub fn shares(&self) -> Shares {
+        Shares {
+            memory: self.memory,
+            descriptors: self.descriptors,
+        }
+    }
+}
+
 impl NodeSettings {
     /// Returns the host slot and data centre of the node.
     pub fn host(&self) -> HostSettings {
