Heads: connections that may hold large ones count for more

Seen: callers that stop inside a head of 60 KB. 1,100 of them take a control host of 64 MB to 86,728 kB, 6,000 the product's router to 476,564 kB of 262,144.

Cause: the limit on heads was 64 KiB at servers without one of their own, and the bound on connections did not know of it.

Change: the default is 16 KiB, as the routes' own default is; readiness and metrics take 8 KiB. If an operator allows larger heads, each connection takes the places of several. A larger head is closed with 431, as before.

--- a/crates/cli/tests/crowds/main.rs
+++ b/crates/cli/tests/crowds/main.rs
@@ -51,6 +51,7 @@
 
 crowds! {
     announcements_short_of_their_end: ANNOUNCE, 4_000, Form::Length { size: 64 << 10, piece: 64 << 10 };
+    heads: CHAT, 6_000, Form::Head { size: 60_000 };
     silent_connections: CHAT, 6_000, Form::Silent;
     unread_status_pages: "GET /status HTTP/1.1", 2_000, Form::Unread { requests: 100 };
 }
--- a/crates/fleet/src/edges/http/server.rs
+++ b/crates/fleet/src/edges/http/server.rs
@@ -32,7 +32,9 @@
 /// Time between two connections that are closed to make room for a new one.
 const MAKE_ROOM_PERIOD: Duration = Duration::from_millis(10);
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-const DEFAULT_HEAD_BYTES: usize = 64 << 10;
+const DEFAULT_HEAD_BYTES: usize = 16 << 10;
+/// Limit on heads up to which a connection takes one place. The read buffer grows up to the limit.
+const HEAD_BYTES_PER_PLACE: usize = 16 << 10;
 /// Bound on the headers of one request.
 const MAX_HEADERS: usize = 100;
 /// Smallest read buffer that the HTTP library accepts.
@@ -57,10 +59,20 @@
     pub head_timeout: Duration,
     /// Bound on the wait for open requests when the server stops.
     pub close_timeout: Duration,
-    /// Bound on open connections. At the bound, those that wait for a request give way to new ones.
+    /// Bound on open connections. At the bound, those that wait for a request give way to new ones. A
+    /// connection takes several places if its limit on heads is larger than usual.
     pub connections: usize,
 }
 
+impl ServerLimits {
+    /// Returns the number of places that a connection takes.
+    fn places(&self) -> u32 {
+        let places = self.head_bytes.div_ceil(HEAD_BYTES_PER_PLACE).max(1);
+        let places = places.min(self.connections.max(1));
+        u32::try_from(places).unwrap_or(u32::MAX)
+    }
+}
+
 impl Default for ServerLimits {
     fn default() -> Self {
         Self {
@@ -123,7 +135,8 @@
             if pending.is_none() {
                 pending = Some(listener.accept().await);
             }
-            make_room(&slots, &waiting, &*handler).await
+            let places = handler.server_limits().places().min(limit);
+            make_room(&slots, places, &waiting, &*handler).await
         };
         let slot = tokio::select! {
             _ = &mut stop => break,
@@ -136,8 +149,9 @@
         }
     }
     let pending = pending.and_then(Result::ok).map(|(stream, _)| stream);
+    let places = handler.server_limits().places().min(limit);
     for stream in pending.into_iter().chain(accept_queued(listener)) {
-        match Arc::clone(&slots).try_acquire_owned() {
+        match Arc::clone(&slots).try_acquire_many_owned(places) {
             Ok(slot) => start(stream, slot),
             Err(_) => break,
         }
@@ -153,15 +167,16 @@
     }
 }
 
-/// Takes a slot for a new connection. Without a free one, connections are closed one after the other:
+/// Takes places for a new connection. Without enough free ones, connections are closed one after the other:
 /// those that wait for a request, longest first, then those whose body is on its way.
 async fn make_room(
     slots: &Arc<Semaphore>,
+    places: u32,
     waiting: &WaitingConnections,
     handler: &impl Handler,
 ) -> Result<OwnedSemaphorePermit, AcquireError> {
     loop {
-        if slots.available_permits() == 0 {
+        if slots.available_permits() < places as usize {
             let reason = match waiting.close_oldest() {
                 true => "waits_for_request",
                 false if handler.end_oldest_body() => "sends_body",
@@ -169,7 +184,7 @@
             };
             log::debug!(closed = reason; "connection limit reached");
         }
-        let acquiring = Arc::clone(slots).acquire_owned();
+        let acquiring = Arc::clone(slots).acquire_many_owned(places);
         if let Ok(slot) = timeout(MAKE_ROOM_PERIOD, acquiring).await {
             return slot;
         }
--- a/crates/fleet/src/gateway/status.rs
+++ b/crates/fleet/src/gateway/status.rs
@@ -35,9 +35,13 @@
 /// Bound on open connections: callers are a balancer and some scrapers.
 const MAX_CONNECTIONS: usize = 64;
 
+/// Bound on the head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 8 << 10;
+
 impl Handler for StatusHandler {
     fn server_limits(&self) -> ServerLimits {
         ServerLimits {
+            head_bytes: MAX_HEAD_BYTES,
             connections: MAX_CONNECTIONS,
             ..ServerLimits::default()
         }
