Router of the product: bound connections by its memory

Seen: 4,000 chats of 1 MB that stop short of their end take `chestnutnotch-router` to 420,960 kB, in chunks to 371,732 kB; 256 MB are assumed.

Cause: it allowed 8,192 connections, whatever its memory. Its bodies were bounded, its connections in effect were not.

Change: settings `memory` and `descriptors`, with the values that were assumed (256 MB, 16,384) as defaults, and the shares of the pass-through router: 1,365 connections.

Evidence: both cases failed on; 217,208 kB and 243,532 kB with the series. Programs of the test profile on arm64, one case at a time, nothing else on the machine; peaks are VmHWM.

--- a/crates/cli/tests/crowds/main.rs
+++ b/crates/cli/tests/crowds/main.rs
@@ -50,6 +50,8 @@
 }
 
 crowds! {
+    chats_short_of_their_end: CHAT, 4_000, Form::Length { size: MIB, piece: MIB };
+    chats_in_chunks: CHAT, 4_000, Form::Chunks { size: MIB, chunk: 64 << 10 };
     announcements_short_of_their_end: ANNOUNCE, 4_000, Form::Length { size: 64 << 10, piece: 64 << 10 };
     heads: CHAT, 6_000, Form::Head { size: 60_000 };
     silent_connections: CHAT, 6_000, Form::Silent;
--- a/crates/fleet/src/filters/route.rs
+++ b/crates/fleet/src/filters/route.rs
@@ -29,6 +29,7 @@
 use crate::edges::http::RequestMemory;
 use crate::edges::http::read_bounded;
 use crate::edges::http::server::Handler;
+use crate::edges::http::server::ServerLimits;
 use crate::filters::Chain;
 use crate::filters::call;
 use crate::filters::chat;
@@ -57,11 +58,20 @@
     pub spread: Spread,
     /// Memory for the bodies of requests.
     pub bodies: RequestMemory,
+    /// Bound on the connections of callers and upstreams.
+    pub connections: usize,
     /// Metrics of the router.
     pub metrics: Arc<Metrics>,
 }
 
 impl Handler for HttpHandler {
+    fn server_limits(&self) -> ServerLimits {
+        ServerLimits {
+            connections: self.connections,
+            ..ServerLimits::default()
+        }
+    }
+
     fn end_oldest_body(&self) -> bool {
         self.bodies.end_oldest()
     }
--- a/crates/fleet/src/router.rs
+++ b/crates/fleet/src/router.rs
@@ -34,7 +34,6 @@
 use crate::filters::ChainParts;
 use crate::filters::route::HttpHandler;
 use crate::metrics::Metrics;
-use crate::settings::DEFAULT_MEMORY_BYTES;
 use crate::settings::HostSettings;
 use crate::settings::RouterSettings;
 use crate::settings::Settings;
@@ -104,9 +103,6 @@
     outcome
 }
 
-/// Part of the default memory that the bodies of requests may take.
-const BODY_MEMORY_DIVISOR: usize = 4;
-
 impl Router {
     /// Binds the addresses and starts to join the ledger. Callers are served once the router has an
     /// incarnation and a quorum has confirmed a configuration.
@@ -247,6 +243,7 @@
         let control = ControlClient::new(settings.control, operator);
         let client = HttpClient::new();
         let other_routers = other_routers(&own);
+        let shares = own.shares();
         let upstreams = Upstreams::new(
             host.centre.clone(),
             other_routers.len() as u32 + 1,
@@ -268,7 +265,8 @@
             gate: Admission::start(upstreams.clone(), timer.clone(), Arc::clone(&metrics)).await?,
             spread: spread.await?,
             upstreams,
-            bodies: RequestMemory::new(DEFAULT_MEMORY_BYTES / BODY_MEMORY_DIVISOR),
+            bodies: RequestMemory::new(shares.requests()),
+            connections: shares.connections(),
             metrics,
         };
         Ok(Self {
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -100,6 +100,12 @@
     /// Longest time that a graceful stop waits for requests in flight, in milliseconds.
     #[serde(default = "drain")]
     pub drain: u64,
+    /// Memory that the process may use, in bytes.
+    #[serde(default = "memory")]
+    pub memory: usize,
+    /// Descriptors that the process may have open.
+    #[serde(default = "descriptors")]
+    pub descriptors: usize,
 }
 
 /// Identity and addresses of a node that finds the other nodes by gossip.
@@ -321,6 +327,16 @@
             record: record(),
             draw: draw(),
             drain: drain(),
+            memory: memory(),
+            descriptors: descriptors(),
+        }
+    }
+
+    /// Returns how the memory and the descriptors of the process are divided.
+    pub fn shares(&self) -> Shares {
+        Shares {
+            memory: self.memory,
+            descriptors: self.descriptors,
         }
     }
 }
