Chats: keep the body as it was sent, and bound the values in it

Seen: 20 complete chats of 4 MB that wait for an engine take `chestnutnotch-router` to 963,968 kB, if they consist of many small values; 600 chats of 1 MB take it to 343,776 kB. 256 MB are assumed.

Cause: a chat was decoded into a tree of values that it kept until its end, which counted nowhere: the bytes were given back when they were decoded. A number takes two bytes of text and 32 decoded, and the copy for the upstream was cloned from the tree.

Change: a chat keeps its body, which counts while it waits, and is decoded again for each attempt. The copy for the upstream counts too; if there is no room for it, the chat is refused with 503 `memory` and has not run. A chat has at most 65,536 values, counted without keeping them; an ordinary one has some tens.

Programs of the test profile on arm64, one case at a time, nothing else on the machine; peaks are VmHWM.

--- a/crates/fleet/src/edges/http/memory.rs
+++ b/crates/fleet/src/edges/http/memory.rs
@@ -131,6 +131,17 @@
         }
     }
 
+    /// Counts complete bytes until all copies of the result are dropped.
+    ///
+    /// # Errors
+    ///
+    /// [`NoRoom`] if the memory has no room.
+    pub fn hold(&self, bytes: Vec<u8>) -> Result<Bytes, NoRoom> {
+        let body = self.begin();
+        self.lock().set(body.id, bytes)?;
+        body.complete()
+    }
+
     /// Ends the body that has been on its way longest. Returns whether there was one.
     pub fn end_oldest(&self) -> bool {
         let mut bodies = self.lock();
@@ -153,6 +164,25 @@
         }
     }
 
+    /// Sets the buffer of a body.
+    fn set(&mut self, id: BodyId, bytes: Vec<u8>) -> Result<(), NoRoom> {
+        self.grow(id, bytes.capacity())?;
+        let buffer = self.buffers.get_mut(&id).ok_or(NoRoom)?;
+        buffer.bytes = bytes;
+        Ok(())
+    }
+
+    /// Lets a body hold `bytes` in all, for which others may have to give way.
+    fn grow(&mut self, id: BodyId, bytes: usize) -> Result<(), NoRoom> {
+        match self.shares.grow(id, bytes) {
+            Growth::Granted(ended) => {
+                ended.into_iter().for_each(|id| self.drop_buffer(id));
+                Ok(())
+            }
+            Growth::Refused => Err(NoRoom),
+        }
+    }
+
     /// Appends to a body, whose buffer doubles up to `most` bytes.
     fn append(&mut self, id: BodyId, data: &[u8], most: usize) -> Result<(), NoRoom> {
         let buffer = self.buffers.get(&id).ok_or(NoRoom)?;
@@ -160,10 +190,7 @@
         let needed = length + data.len();
         if needed > capacity {
             let wanted = (2 * capacity).min(most).max(needed);
-            match self.shares.grow(id, wanted) {
-                Growth::Granted(ended) => ended.into_iter().for_each(|id| self.drop_buffer(id)),
-                Growth::Refused => return Err(NoRoom),
-            }
+            self.grow(id, wanted)?;
             if let Some(buffer) = self.buffers.get_mut(&id) {
                 buffer.bytes.reserve_exact(wanted - length);
             }
--- a/crates/fleet/src/edges/http/mod.rs
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -38,6 +38,7 @@
 pub use client::SendError;
 pub use framing::Framing;
 pub use memory::AnswerMemory;
+pub use memory::NoRoom;
 pub use memory::RequestMemory;
 pub use not_run::NotRun;
 pub use not_run::Tie;
--- a/crates/fleet/src/filters/forward.rs
+++ b/crates/fleet/src/filters/forward.rs
@@ -27,6 +27,7 @@
 use crate::controllers::admission::AdmissionPermit;
 use crate::controllers::admission::AdmissionRequest;
 use crate::controllers::bills::PendingBill;
+use crate::edges::http::NoRoom;
 use crate::edges::http::NotRun;
 use crate::edges::http::SendError;
 use crate::filters::Chain;
@@ -358,6 +359,10 @@
         let body = self
             .chat
             .upstream_body(self.output_limit(), self.spec.priority);
+        let body = match chain.bodies.hold(body) {
+            Ok(body) => body,
+            Err(NoRoom) => return Err(self.no_memory(open)),
+        };
         let timeout = self
             .time_left()
             .min(Duration::from_millis(self.spec.first.0));
@@ -390,6 +395,12 @@
         }
     }
 
+    /// Settles an attempt for whose request there is no memory.
+    fn no_memory(&self, open: OpenAttempt) -> AttemptError {
+        self.end_not_run(open, AttemptOutcome::Neutral, NotRun::not_begun());
+        AttemptError::Abort(self.refusal_after_attempts(Refusal::NoMemory).into())
+    }
+
     /// Settles an attempt without an answer.
     fn send_failed(&mut self, open: OpenAttempt, error: &SendError) -> AttemptError {
         let outcome = match error {
--- a/crates/fleet/src/filters/parse.rs
+++ b/crates/fleet/src/filters/parse.rs
@@ -13,6 +13,7 @@
 use serde_json::Value;
 
 use crate::filters::refusal::Malformed;
+use crate::json;
 
 /// Tokens that the chat template of a model may add to each message or content part.
 const MESSAGE_TEMPLATE_TOKENS: u64 = 16;
@@ -22,6 +23,9 @@
 /// Number of leading messages whose prefixes are hashed.
 const MAX_PREFIXES: usize = 16;
 
+/// Most JSON values in the body of a chat. Decoded, each takes some hundred bytes beside its text.
+const MAX_VALUES: usize = 65_536;
+
 /// Fields that add nothing to the prompt, and the messages, which are counted by themselves.
 const UNCOUNTED_FIELDS: [&str; 5] = ["model", "messages", "stream", "stream_options", "user"];
 
@@ -42,8 +46,9 @@
     pub prefix_hashes: Vec<u64>,
     /// Hash of the whole body, to detect a key reused for another request.
     pub body_hash: Fingerprint,
-    /// All fields of the JSON body.
-    fields: Map<String, Value>,
+    /// The body as the caller sent it. It is decoded again for each attempt: decoded, it takes several
+    /// times its size, and a chat may wait long.
+    body: Bytes,
 }
 
 impl ChatRequest {
@@ -53,6 +58,9 @@
     ///
     /// [`Malformed`] says which part of the body is not served.
     pub fn parse(body: &Bytes) -> Result<Self, Malformed> {
+        if json::has_more_values(body, MAX_VALUES) {
+            return Err(Malformed::Values(MAX_VALUES));
+        }
         let fields: Map<String, Value> =
             serde_json::from_slice(body).map_err(|_| Malformed::Json)?;
         let model = fields.get("model").and_then(Value::as_str);
@@ -71,14 +79,15 @@
             prompt_bound: prompt_bound(&fields)?,
             prefix_hashes: prefix_hashes(&fields),
             body_hash: Fingerprint::of(body),
-            fields,
+            body: body.clone(),
         })
     }
 
     /// Returns the body for the upstream: always streamed, with usage and an explicit limit of
     /// `limit` generated tokens.
-    pub fn upstream_body(&self, limit: Tokens, priority: u8) -> Bytes {
-        let mut fields = self.fields.clone();
+    pub fn upstream_body(&self, limit: Tokens, priority: u8) -> Vec<u8> {
+        // The body was decoded before, so this can't fail.
+        let mut fields: Map<String, Value> = serde_json::from_slice(&self.body).unwrap_or_default();
         fields.remove("max_completion_tokens");
         fields.insert("max_tokens".to_owned(), limit.0.into());
         fields.insert("priority".to_owned(), priority.into());
@@ -86,7 +95,7 @@
         let options = Map::from_iter([("include_usage".to_owned(), true.into())]);
         fields.insert("stream_options".to_owned(), options.into());
         // A map of JSON values always serialises; an empty body would be refused by the upstream.
-        serde_json::to_vec(&fields).unwrap_or_default().into()
+        serde_json::to_vec(&fields).unwrap_or_default()
     }
 }
 
--- a/crates/fleet/src/filters/refusal.rs
+++ b/crates/fleet/src/filters/refusal.rs
@@ -31,6 +31,9 @@
     /// The body is not JSON of the expected form.
     #[error("the body is not a chat request in JSON")]
     Json,
+    /// The body has more values than this.
+    #[error("the body has more than {0} JSON values")]
+    Values(usize),
     /// There are no messages.
     #[error("messages is empty")]
     NoMessages,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`gateway`]: whole processes for pass-through routes. [`dialect`]: the format of their routes.
 //! - [`metrics`]: Prometheus metrics. [`logging`]: structured logs.
 //! - [`mod@file`], [`publish`]: reading TOML files and collecting a configuration from them.
+//! - [`json`]: bounds on what a JSON text takes once it is decoded.
 //! - [`keys`]: lookup of bearer keys by their hash.
 //! - [`filters`]: the chain of steps that serves a caller's request.
 //! - [`controllers`]: actors that run the state machines of `chestnutnotch-core`.
@@ -22,6 +23,7 @@
 pub mod file;
 pub mod filters;
 pub mod gateway;
+pub mod json;
 pub mod keys;
 pub mod logging;
 pub mod metrics;
