Control host: operators who read the routes share one copy

Seen: 400 callers that ask for a document of 2,000 routes and read nothing take a control host of 64 MB to 198,780 kB.

Cause: each read fetched the document from the leader and copied it, and the copy stayed until its caller had read it.

Change: a quorum confirms the version for each read, without the document; that is fetched once for each version, and all answers share it. A read that finds an older document than the confirmed version is an error, never an older answer.

--- a/crates/fleet/src/gateway/mod.rs
+++ b/crates/fleet/src/gateway/mod.rs
@@ -10,7 +10,8 @@
 //! of one request, and a [`refusal`] is an error answer of the router itself.
 //!
 //! [`process`] runs the router and control processes. [`registry`] is the HTTP interface of a
-//! control host for upstreams and operators, whose log tells of an `outage` of the quorum, and [`status`] serves readiness and metrics.
+//! control host for upstreams and operators, whose log tells of an `outage` of the quorum, `read` shares the
+//! document that operators read, and [`status`] serves readiness and metrics.
 
 pub mod admission;
 pub mod attempt;
@@ -22,6 +23,7 @@
 pub mod loans;
 mod outage;
 pub mod process;
+mod read;
 pub mod refusal;
 pub mod registry;
 pub mod route_times;
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -61,6 +61,7 @@
 use crate::gateway::front::RetryBudgets;
 use crate::gateway::hedge::Hedging;
 use crate::gateway::outage::Outage;
+use crate::gateway::read::RoutesReader;
 use crate::gateway::registry::Registry;
 use crate::gateway::route_times::RouteTimes;
 use crate::gateway::status::StatusHandler;
@@ -514,6 +515,7 @@
         dialect: Arc::clone(&dialect),
         nodes: base.nodes.clone(),
         control: base.control.clone(),
+        reader: RoutesReader::default(),
         bodies: RequestMemory::new(shares.documents()),
         connections: shares.connections(),
         centres: settings.centres.clone(),
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -39,6 +39,7 @@
 use crate::edges::rpc::ControlClient;
 use crate::edges::rpc::ControlError;
 use crate::gateway::outage::Outage;
+use crate::gateway::read::RoutesReader;
 
 /// Longest wait for the body of a call.
 const BODY_TIMEOUT: Duration = Duration::from_secs(3);
@@ -61,6 +62,8 @@
     pub nodes: Nodes,
     /// Client of the control replicas.
     pub control: ControlClient,
+    /// Reads of the published routes.
+    pub(super) reader: RoutesReader,
     /// Memory for the bodies of calls.
     pub bodies: RequestMemory,
     /// Bound on open connections.
@@ -173,12 +176,8 @@
                 self.publish(source).await
             }
             Operation::Read => {
-                let published = self.control.plan(0, QUORUM_TIMEOUT).await;
-                let published = self.outage.observe(published)?.plan;
-                match published.version {
-                    0 => Err(CallError::NoRoutes),
-                    _ => Ok(Bytes::copy_from_slice(&published.source)),
-                }
+                let published = self.reader.read(&self.control, QUORUM_TIMEOUT).await;
+                self.outage.observe(published)?.ok_or(CallError::NoRoutes)
             }
             Operation::Evacuate(centre) => self.evacuate(centre, true).await,
             Operation::Restore(centre) => self.evacuate(centre, false).await,
