Control host: bound the values of a set of routes

Seen: ten calls with 8 MB of short keys, each of legal size, take a control host of 64 MB to 142,332 kB.

Cause: a key of four bytes of text takes some fifty decoded, and the decoded routes were kept while a quorum agreed.

The decoded routes are dropped before the wait. A document of 8 MB with some 300 bytes and 16 values a route has about 450,000.

--- a/crates/fleet/src/dialect.rs
+++ b/crates/fleet/src/dialect.rs
@@ -72,12 +72,18 @@
     fn ready_path(&self) -> &'static str;
 }
 
+/// Most values in a set of routes, at any depth. Decoded, each takes some tens of bytes beside its text.
+pub const MAX_PLAN_VALUES: usize = 1 << 19;
+
 /// Why a heartbeat or a set of routes is refused.
 #[derive(Debug, Error)]
 pub enum DocumentError {
     /// The document is not valid JSON, or a field is missing or has the wrong type.
     #[error("not readable: {0}")]
     Malformed(#[from] serde_json::Error),
+    /// The document has more values than this.
+    #[error("more than {0} JSON values")]
+    Values(usize),
     /// A field has a value outside its set of known values.
     #[error("{field}: {value:?} is not known")]
     Unknown {
--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -207,12 +207,15 @@
 
     /// Validates a set of routes and submits it to the control replicas.
     async fn publish(&self, source: Bytes) -> Result<Bytes, CallError> {
-        let plan = self.dialect.decode_plan(&source)?;
-        let version = plan.version;
+        // Decoded, the routes take more than their text: they are dropped before the wait for a quorum.
+        let (version, routes, prepaid) = {
+            let plan = self.dialect.decode_plan(&source)?;
+            (plan.version, plan.routes.len(), prepaid_totals(&plan))
+        };
         let adopt = Adopt {
             version,
             source: source.to_vec().into(),
-            prepaid: prepaid_totals(&plan),
+            prepaid,
         };
         let submitted = self
             .control
@@ -220,7 +223,7 @@
             .await;
         match self.outage.observe(submitted) {
             Ok(Reply::Adopted(held)) => {
-                log::info!(version, held, routes = plan.routes.len(); "routes acknowledged");
+                log::info!(version, held, routes; "routes acknowledged");
                 Ok(EMPTY_JSON)
             }
             Ok(_) => Err(CallError::Unexpected),
