Ports between processes: bound the connections

Seen: 4,500 connections that say nothing leave a router or a control host with 4,522 open descriptors of 4,100 and 76,660 kB of 65,536.

Cause: the RPC servers accepted without a bound. By reading, their accept loop also goes on at once after an error, so that a process without descriptors would spin; not run.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -9,7 +9,6 @@
 use ractor::ActorRef;
 use thiserror::Error;
 use tokio::net::TcpListener;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 
 use crate::controllers::replica;
@@ -20,6 +19,7 @@
 use crate::edges::rpc::ControlClient;
 use crate::edges::rpc::ControlServer;
 use crate::edges::rpc::MAX_MESSAGE_BYTES;
+use crate::edges::rpc::accept_nodes;
 use crate::edges::rpc::node::NodeService;
 use crate::edges::rpc::peer::PeerService;
 use crate::settings::ReplicaSettings;
@@ -99,6 +99,8 @@
     /// Client of all control replicas, this one included.
     client: ControlClient,
     listener: TcpListener,
+    /// Bound on the connections of other processes.
+    connections: usize,
     timer: Timer,
 }
 
@@ -135,6 +137,7 @@
             spool: SpoolActor::start(args).await?,
             client,
             listener,
+            connections: own.connections,
             timer,
         })
     }
@@ -180,7 +183,7 @@
             .add_service(control)
             .add_service(self.peers.into_server())
             .add_optional_service(node.map(NodeService::into_server))
-            .serve_with_incoming_shutdown(TcpListenerStream::new(self.listener), ended)
+            .serve_with_incoming_shutdown(accept_nodes(self.listener, self.connections), ended)
             .await?;
         self.spool.stop(None);
         log::info!("control process {} has stopped", self.host);
--- a/crates/fleet/src/edges/rpc/mod.rs
+++ b/crates/fleet/src/edges/rpc/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 pub mod document;
 mod frames;
+mod incoming;
 pub mod node;
 pub mod peer;
 pub mod router;
@@ -17,6 +18,7 @@
 pub use client::Referral;
 pub use control::ControlServer;
 pub use control::HostReports;
+pub use incoming::accept_nodes;
 pub use router::RouterClient;
 pub use router::SpreadError;
 
--- a/crates/fleet/src/edges/rpc/router.rs
+++ b/crates/fleet/src/edges/rpc/router.rs
@@ -15,7 +15,6 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
@@ -25,6 +24,7 @@
 
 use crate::controllers::spread::Spread;
 use crate::controllers::upstreams::AnnouncementChange;
+use crate::edges::rpc::accept_nodes;
 
 /// Bound on the time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -100,13 +100,14 @@
     }
 }
 
-/// Serves the other routers until `stop` fires.
+/// Serves the other routers until `stop` fires, over at most `connections` connections.
 ///
 /// # Errors
 ///
 /// The error of the transport if it fails.
 pub async fn serve(
     listener: TcpListener,
+    connections: usize,
     spread: Spread,
     stop: oneshot::Receiver<()>,
 ) -> Result<(), tonic::transport::Error> {
@@ -116,7 +117,7 @@
     };
     Server::builder()
         .add_service(RouterServer::new(RouterService { spread }))
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), stopped)
+        .serve_with_incoming_shutdown(accept_nodes(listener, connections), stopped)
         .await
 }
 
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -24,7 +24,6 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 
 use crate::control::Control;
@@ -53,6 +52,7 @@
 use crate::edges::http::server::Handler;
 use crate::edges::rpc::ControlClient;
 use crate::edges::rpc::Referral;
+use crate::edges::rpc::accept_nodes;
 use crate::edges::rpc::node::NoLender;
 use crate::edges::rpc::node::NodeService;
 use crate::gateway::admission;
@@ -222,7 +222,7 @@
             gateway.upstreams.evacuations(),
             Arc::new(gateway.allotments.clone()),
         );
-        tokio::spawn(serve_nodes(rpc, node));
+        tokio::spawn(serve_nodes(rpc, settings.shares().node_connections(), node));
         tokio::spawn(run_maintenance(Arc::clone(&gateway)));
         tokio::spawn(observe_ended_starts(Arc::clone(&gateway)));
         tokio::spawn(gateway.room.clone().report());
@@ -329,10 +329,10 @@
     }
 }
 
-/// Serves the RPCs of other nodes.
-async fn serve_nodes(listener: TcpListener, node: NodeService) {
+/// Serves the RPCs of other nodes, over at most `connections` connections.
+async fn serve_nodes(listener: TcpListener, connections: usize, node: NodeService) {
     let server = Server::builder().add_service(node.into_server());
-    let served = server.serve_with_incoming(TcpListenerStream::new(listener));
+    let served = server.serve_with_incoming(accept_nodes(listener, connections));
     if let Err(error) = served.await {
         log::error!(error:% = error; "the RPC server for other nodes has failed");
     }
@@ -535,7 +535,10 @@
     }
     tokio::spawn(watch_seeds(reload, base.nodes.clone()));
     let outcome = match settings.replica.clone() {
-        Some(replica) => run_replica(own, replica, rpc, &base.nodes, metrics, timer, stop).await,
+        Some(mut replica) => {
+            replica.connections = shares.node_connections();
+            run_replica(own, replica, rpc, &base.nodes, metrics, timer, stop).await
+        }
         None => {
             stop.await;
             Ok(())
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -63,6 +63,9 @@
     /// it, the group has just the addresses in the settings.
     #[serde(default)]
     pub discovery: Option<DiscoverySettings>,
+    /// Bound on the connections of other processes.
+    #[serde(default = "node_connections")]
+    pub connections: usize,
 }
 
 /// Automatic membership of a control group whose replicas find each other by gossip.
@@ -213,6 +216,14 @@
     DEFAULT_MEMORY_BYTES
 }
 
+fn node_connections() -> usize {
+    let shares = Shares {
+        memory: memory(),
+        descriptors: descriptors(),
+    };
+    shares.node_connections()
+}
+
 /// A retry budget: in any window, retries are limited to a share of the first attempts plus a fixed
 /// allowance.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
@@ -289,6 +300,7 @@
             snapshot: snapshot(),
             snapshot_bytes: snapshot_bytes(),
             discovery: None,
+            connections: node_connections(),
         }
     }
 
--- a/crates/fleet/tests/replica_support/mod.rs
+++ b/crates/fleet/tests/replica_support/mod.rs
@@ -241,6 +241,7 @@
             discovery: None,
             snapshot: self.snapshot,
             snapshot_bytes: self.snapshot_bytes,
+            connections: 64,
         };
         let timer = Timer::new();
         let mut peers = self.addresses.clone();
