Streams: end the run at an upstream that spoiled its stream before another one goes on

A worker sends events and then bytes that are none; another one takes the stream up while the first one works on, for some 0.7 s (TWICE).

Cause: the connection to the first upstream stayed open until the first event of the next one, as both were kept in one variable. Only a closed connection cancels the run.

Change: body and connection are dropped before the next upstream is asked.

--- a/crates/fleet/src/gateway/stream.rs
+++ b/crates/fleet/src/gateway/stream.rs
@@ -199,7 +199,11 @@
                     opened.attempt.end(AttemptOutcome::Broken);
                     self.job.runs += 1;
                     self.job.reason = "stream_broke";
-                    let next = match opened.body.is_events() && !self.has_unnumbered {
+                    let may_resume = opened.body.is_events() && !self.has_unnumbered;
+                    // Closing the connection cancels the run at this upstream, which may go on
+                    // with it otherwise while another one takes it up.
+                    drop((opened.body, opened.connection));
+                    let next = match may_resume {
                         true => self.resume().await,
                         false => None,
                     };
