RPC: bound the messages that are on their way

Seen: 60 messages of 4 MB that stop short of their end, over a connection each, take a control host of 64 MB to 273,148 kB and a router to 274,832 kB.

Cause: the RPC library collects a message until it is complete, of up to 64 MiB at a control host and 4 MiB at a router, and nothing bounds their sum.

Change: `Bounded` counts the bytes of each message until it is decoded, in an eighth of the memory, by the rule for bodies: the largest one that is still on its way gives way, a message that is alone never does. It is refused with RESOURCE_EXHAUSTED, which nodes take for a failed call.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -16,6 +16,8 @@
 use crate::controllers::spool::SpoolActor;
 use crate::controllers::spool::SpoolArgs;
 use crate::controllers::spool::SpoolMessage;
+use crate::edges::http::RequestMemory;
+use crate::edges::rpc::Bounded;
 use crate::edges::rpc::ControlClient;
 use crate::edges::rpc::ControlServer;
 use crate::edges::rpc::MAX_MESSAGE_BYTES;
@@ -101,6 +103,8 @@
     listener: TcpListener,
     /// Bound on the connections of other processes.
     connections: usize,
+    /// Memory for their messages on their way.
+    messages: RequestMemory,
     timer: Timer,
 }
 
@@ -138,6 +142,7 @@
             client,
             listener,
             connections: own.connections,
+            messages: RequestMemory::new(own.messages),
             timer,
         })
     }
@@ -163,7 +168,7 @@
         node: Option<NodeService>,
         stop: impl Future<Output = ()> + Send,
     ) -> Result<(), ServeError> {
-        let replica = self.replica;
+        let (replica, messages) = (self.replica, self.messages);
         let control = ControlServer::new(replica.clone(), self.spool.clone(), self.timer);
         let control = ControlRpc::new(control)
             .max_decoding_message_size(MAX_MESSAGE_BYTES)
@@ -180,9 +185,9 @@
         };
         Server::builder()
             .tcp_nodelay(true)
-            .add_service(control)
-            .add_service(self.peers.into_server())
-            .add_optional_service(node.map(NodeService::into_server))
+            .add_service(Bounded::new(control, messages.clone()))
+            .add_service(Bounded::new(self.peers.into_server(), messages.clone()))
+            .add_optional_service(node.map(|node| Bounded::new(node.into_server(), messages)))
             .serve_with_incoming_shutdown(accept_nodes(self.listener, self.connections), ended)
             .await?;
         self.spool.stop(None);
--- a/crates/fleet/src/edges/http/memory.rs
+++ b/crates/fleet/src/edges/http/memory.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
+use tokio::sync::futures::OwnedNotified;
 
 /// Memory for the bodies of answers. Cheap to clone; clones share it.
 #[derive(Clone, Debug)]
@@ -219,6 +220,20 @@
         self.memory.lock().append(self.id, data, most)
     }
 
+    /// Counts `bytes` in all for a body whose bytes are kept elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// See [`HeldBody::append`].
+    pub fn count(&self, bytes: usize) -> Result<(), NoRoom> {
+        self.memory.lock().grow(self.id, bytes)
+    }
+
+    /// Like [`HeldBody::ended`], for as long as the result lives.
+    pub fn ended_owned(&self) -> OwnedNotified {
+        Arc::clone(&self.ended).notified_owned()
+    }
+
     /// Resolves once the body has given way to others.
     pub async fn ended(&self) {
         self.ended.notified().await;
--- a/crates/fleet/src/edges/rpc/mod.rs
+++ b/crates/fleet/src/edges/rpc/mod.rs
@@ -1,6 +1,7 @@
 //! gRPC between the processes of the system.
 
 mod backoff;
+mod bounded;
 mod client;
 mod control;
 pub mod document;
@@ -12,6 +13,7 @@
 mod views;
 mod watch;
 
+pub use bounded::Bounded;
 pub use client::ControlClient;
 pub use client::ControlError;
 pub(crate) use client::MAX_MESSAGE_BYTES;
--- a/crates/fleet/src/edges/rpc/router.rs
+++ b/crates/fleet/src/edges/rpc/router.rs
@@ -24,7 +24,10 @@
 
 use crate::controllers::spread::Spread;
 use crate::controllers::upstreams::AnnouncementChange;
+use crate::edges::http::RequestMemory;
+use crate::edges::rpc::Bounded;
 use crate::edges::rpc::accept_nodes;
+use crate::shares::Shares;
 
 /// Bound on the time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -100,14 +103,14 @@
     }
 }
 
-/// Serves the other routers until `stop` fires, over at most `connections` connections.
+/// Serves the other routers until `stop` fires, within the shares of the process.
 ///
 /// # Errors
 ///
 /// The error of the transport if it fails.
 pub async fn serve(
     listener: TcpListener,
-    connections: usize,
+    shares: Shares,
     spread: Spread,
     stop: oneshot::Receiver<()>,
 ) -> Result<(), tonic::transport::Error> {
@@ -115,9 +118,10 @@
         // A dropped sender stops the server as well.
         let _ = stop.await;
     };
+    let service = RouterServer::new(RouterService { spread });
     Server::builder()
-        .add_service(RouterServer::new(RouterService { spread }))
-        .serve_with_incoming_shutdown(accept_nodes(listener, connections), stopped)
+        .add_service(Bounded::new(service, RequestMemory::new(shares.messages())))
+        .serve_with_incoming_shutdown(accept_nodes(listener, shares.node_connections()), stopped)
         .await
 }
 
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -50,6 +50,7 @@
 use crate::edges::http::pool::Pool;
 use crate::edges::http::server;
 use crate::edges::http::server::Handler;
+use crate::edges::rpc::Bounded;
 use crate::edges::rpc::ControlClient;
 use crate::edges::rpc::Referral;
 use crate::edges::rpc::accept_nodes;
@@ -72,6 +73,7 @@
 use crate::settings::RegistrySettings;
 use crate::settings::ReplicaSettings;
 use crate::settings::Settings;
+use crate::shares::Shares;
 use crate::timer::Timer;
 
 /// How many tokens a router draws ahead of need, and how many it may spend without a report to the
@@ -222,7 +224,7 @@
             gateway.upstreams.evacuations(),
             Arc::new(gateway.allotments.clone()),
         );
-        tokio::spawn(serve_nodes(rpc, settings.shares().node_connections(), node));
+        tokio::spawn(serve_nodes(rpc, settings.shares(), node));
         tokio::spawn(run_maintenance(Arc::clone(&gateway)));
         tokio::spawn(observe_ended_starts(Arc::clone(&gateway)));
         tokio::spawn(gateway.room.clone().report());
@@ -329,10 +331,12 @@
     }
 }
 
-/// Serves the RPCs of other nodes, over at most `connections` connections.
-async fn serve_nodes(listener: TcpListener, connections: usize, node: NodeService) {
-    let server = Server::builder().add_service(node.into_server());
-    let served = server.serve_with_incoming(accept_nodes(listener, connections));
+/// Serves the RPCs of other nodes, within the shares of the process.
+async fn serve_nodes(listener: TcpListener, shares: Shares, node: NodeService) {
+    let messages = RequestMemory::new(shares.messages());
+    let server = Server::builder().add_service(Bounded::new(node.into_server(), messages));
+    let incoming = accept_nodes(listener, shares.node_connections());
+    let served = server.serve_with_incoming(incoming);
     if let Err(error) = served.await {
         log::error!(error:% = error; "the RPC server for other nodes has failed");
     }
@@ -537,6 +541,7 @@
     let outcome = match settings.replica.clone() {
         Some(mut replica) => {
             replica.connections = shares.node_connections();
+            replica.messages = shares.messages();
             run_replica(own, replica, rpc, &base.nodes, metrics, timer, stop).await
         }
         None => {
--- a/crates/fleet/src/router.rs
+++ b/crates/fleet/src/router.rs
@@ -117,7 +117,7 @@
         let http = local_address(&listener, own.listen)?;
         let rpc = local_address(&peers, own.rpc)?;
         let drain = Duration::from_millis(own.drain);
-        let connections = own.shares().node_connections();
+        let shares = own.shares();
         let nonce = getrandom::u64()?;
         let joining = JoiningRouter::new(settings, own, timer).await?;
         let front = Arc::clone(&joining.front);
@@ -126,7 +126,7 @@
         let (stop_rpc, rpc_stopped) = oneshot::channel();
         let http_server = tokio::spawn(server::serve(listener, Arc::clone(&front), http_stopped));
         let rpc_server = tokio::spawn(async move {
-            if let Err(error) = router::serve(peers, connections, spread, rpc_stopped).await {
+            if let Err(error) = router::serve(peers, shares, spread, rpc_stopped).await {
                 log::error!("serving other routers failed: {error}");
             }
         });
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -66,6 +66,9 @@
     /// Bound on the connections of other processes.
     #[serde(default = "node_connections")]
     pub connections: usize,
+    /// Memory for messages of other processes on their way, in bytes.
+    #[serde(default = "messages")]
+    pub messages: usize,
 }
 
 /// Automatic membership of a control group whose replicas find each other by gossip.
@@ -216,12 +219,18 @@
     DEFAULT_MEMORY_BYTES
 }
 
+/// Shares of a process whose settings name no memory and no descriptors.
+const DEFAULT_SHARES: Shares = Shares {
+    memory: DEFAULT_MEMORY_BYTES,
+    descriptors: DEFAULT_DESCRIPTORS,
+};
+
 fn node_connections() -> usize {
-    let shares = Shares {
-        memory: memory(),
-        descriptors: descriptors(),
-    };
-    shares.node_connections()
+    DEFAULT_SHARES.node_connections()
+}
+
+fn messages() -> usize {
+    DEFAULT_SHARES.messages()
 }
 
 /// A retry budget: in any window, retries are limited to a share of the first attempts plus a fixed
@@ -301,6 +310,7 @@
             snapshot_bytes: snapshot_bytes(),
             discovery: None,
             connections: node_connections(),
+            messages: messages(),
         }
     }
 
--- a/crates/fleet/src/shares.rs
+++ b/crates/fleet/src/shares.rs
@@ -18,6 +18,9 @@
 /// without the body.
 const CONNECTION_BYTES: usize = 48 << 10;
 
+/// Part of the memory that messages of other processes may take on their way.
+const MESSAGE_DIVISOR: usize = 8;
+
 /// Part of the memory that the connections of other processes may take.
 const NODE_CONNECTION_DIVISOR: usize = 8;
 
@@ -62,6 +65,11 @@
         by_memory.min(by_descriptors).max(1)
     }
 
+    /// Returns the memory for messages of other processes on their way.
+    pub fn messages(self) -> usize {
+        self.memory / MESSAGE_DIVISOR
+    }
+
     /// Returns the bound on the connections of other processes to the RPC server.
     pub fn node_connections(self) -> usize {
         let by_memory = self.memory / NODE_CONNECTION_DIVISOR / NODE_CONNECTION_BYTES;
--- a/crates/fleet/tests/replica_support/mod.rs
+++ b/crates/fleet/tests/replica_support/mod.rs
@@ -242,6 +242,7 @@
             snapshot: self.snapshot,
             snapshot_bytes: self.snapshot_bytes,
             connections: 64,
+            messages: 32 << 20,
         };
         let timer = Timer::new();
         let mut peers = self.addresses.clone();
