Control host: heads up to 32 KiB

Cause: the default limit on heads was lowered to 16 KiB for all servers, and control hosts had none of their own.

--- a/crates/fleet/src/gateway/registry.rs
+++ b/crates/fleet/src/gateway/registry.rs
@@ -50,6 +50,9 @@
 /// Furthest that an upstream's clock may be ahead of this host's.
 const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(24 * 60 * 60);
 
+/// Largest head of a call, in bytes. A path that is too long for a name is refused as such.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
 /// Largest set of routes, in bytes: the limit of one command in the replicated log.
 const MAX_ROUTES_BYTES: usize = 8 << 20;
 
@@ -115,6 +118,7 @@
 impl Handler for Registry {
     fn server_limits(&self) -> ServerLimits {
         ServerLimits {
+            head_bytes: MAX_HEAD_BYTES,
             connections: self.connections,
             ..ServerLimits::default()
         }
