Replica: log and count who joins, votes and leaves, with the reason

Change: the leader reports each membership change that it appends as an output; the actor logs it with address and counts. Each replica logs when it gets or loses its vote. New figures votes, voters and learners. No decision changes.

--- a/crates/core/src/replica/change.rs
+++ b/crates/core/src/replica/change.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::input::MemberChange;
 use super::input::Output;
 use super::log::Payload;
 use super::members::Member;
@@ -42,7 +43,7 @@
             since: self.log.last().index.next(),
         };
         members.0.insert(id, member);
-        self.append_payloads(vec![Payload::Members(members)], out);
+        self.append_members(members, MemberChange::Joined(id), out);
     }
 
     /// Makes the next membership change that is due, if any: promotes a learner that has caught up
@@ -54,17 +55,26 @@
         }
         let mut members = self.members().clone();
         let learner = self.caught_up_learner().filter(|id| self.may_promote(*id));
-        if let Some(learner) = learner {
+        let change = if let Some(learner) = learner {
             if let Some(member) = members.0.get_mut(&learner) {
                 member.voter = true;
             }
+            MemberChange::Promoted(learner)
         } else if let Some(voter) = superseded(&members).filter(|id| *id != self.id) {
             members.0.remove(&voter);
+            MemberChange::Superseded(voter)
         } else if let Some(voter) = self.surplus_voter() {
             members.0.remove(&voter);
+            MemberChange::Replaced(voter)
         } else {
             return;
-        }
+        };
+        self.append_members(members, change, out);
+    }
+
+    /// Appends a new membership and reports the change.
+    fn append_members(&mut self, members: Members, change: MemberChange, out: &mut Vec<Output>) {
+        out.push(Output::Changed(change));
         self.append_payloads(vec![Payload::Members(members)], out);
     }
 
--- a/crates/core/src/replica/input.rs
+++ b/crates/core/src/replica/input.rs
@@ -103,6 +103,40 @@
     },
     /// Restart the election timer.
     ResetTimer,
+    /// The leader has appended a membership change. Nothing to execute; tells logs and metrics.
+    Changed(MemberChange),
+}
+
+/// A membership change that a leader appends to the log, with the reason.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum MemberChange {
+    /// A replica asked to join and becomes a learner.
+    Joined(ReplicaId),
+    /// A learner that has caught up becomes a voter.
+    Promoted(ReplicaId),
+    /// A voter is removed, since a newer voter has its address: its disk was lost.
+    Superseded(ReplicaId),
+    /// A voter is removed, since it is unresponsive and the target number is met without it.
+    Replaced(ReplicaId),
+}
+
+impl MemberChange {
+    /// Returns the member that changes.
+    pub fn member(self) -> ReplicaId {
+        match self {
+            Self::Joined(id) | Self::Promoted(id) | Self::Superseded(id) | Self::Replaced(id) => id,
+        }
+    }
+
+    /// Returns the word for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Joined(_) => "joined",
+            Self::Promoted(_) => "promoted",
+            Self::Superseded(_) => "superseded",
+            Self::Replaced(_) => "replaced",
+        }
+    }
 }
 
 /// A disk write.
--- a/crates/core/src/replica/mod.rs
+++ b/crates/core/src/replica/mod.rs
@@ -25,6 +25,7 @@
 pub use bootstrap::HelloRound;
 pub use input::Campaign;
 pub use input::Input;
+pub use input::MemberChange;
 pub use input::Output;
 pub use input::Save;
 pub use log::Entry;
--- a/crates/core/tests/replica_world/mod.rs
+++ b/crates/core/tests/replica_world/mod.rs
@@ -207,7 +207,7 @@
                 Output::Commit(_) | Output::Restore(_) | Output::ReadConfirmed { .. } => {
                     to_check.push(output);
                 }
-                Output::ReadDropped { .. } | Output::ResetTimer => {}
+                Output::ReadDropped { .. } | Output::ResetTimer | Output::Changed(_) => {}
             }
         }
         let became_leader = !led && host.node.leads();
--- a/crates/fleet/src/controllers/replica/actor.rs
+++ b/crates/fleet/src/controllers/replica/actor.rs
@@ -146,6 +146,8 @@
     pub(super) disk_full: bool,
     /// Since when no leader is known, on the monotonic clock; `None` if one is known.
     pub(super) leaderless: Option<Millis>,
+    /// Whether this replica is a voter, as last logged.
+    pub(super) votes: bool,
     /// State machine, with the last entry applied to it.
     pub(super) applied: Applied,
     /// Publishes each new revision of the configuration.
@@ -289,6 +291,7 @@
             writer: Writer::new(arguments.folder),
             disk_full: false,
             leaderless: Some(arguments.timer.now()),
+            votes: false,
             stamp: arguments.applied.stamp,
             applied: arguments.applied,
             accepted_tx: arguments.accepted_tx,
--- a/crates/fleet/src/controllers/replica/carry.rs
+++ b/crates/fleet/src/controllers/replica/carry.rs
@@ -5,6 +5,7 @@
 
 use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::replica::Input;
+use chestnutnotch_core::replica::MemberChange;
 use chestnutnotch_core::replica::Message;
 use chestnutnotch_core::replica::Output;
 use chestnutnotch_core::replica::Snapshot;
@@ -65,6 +66,7 @@
                     }
                 }
                 Output::ResetTimer => {}
+                Output::Changed(change) => self.log_change(change),
             }
         }
         self.answer_reads();
@@ -78,6 +80,34 @@
             log::info!("replica {} {change} in term {}", node.id(), node.term());
         }
         self.log_leader();
+        self.log_vote();
+    }
+
+    /// Logs a membership change of this leader.
+    fn log_change(&self, change: MemberChange) {
+        let node = self.replica.node();
+        let members = node.members();
+        let id = change.member();
+        // A removed member is still in the committed membership.
+        let committed = node.log().members_at(node.committed());
+        let member = members.0.get(&id).or_else(|| committed.0.get(&id));
+        let address = member.map(|member| member.address.to_string());
+        let (voters, learners) = (members.voters().count(), members.learners().count());
+        log::info!(
+            member:% = id, address = address.unwrap_or_default(), voters = voters, learners = learners;
+            "member {}", change.name()
+        );
+    }
+
+    /// Logs when this replica gets or loses its vote, as far as its log says.
+    fn log_vote(&mut self) {
+        let node = self.replica.node();
+        let votes = node.members().is_voter(node.id());
+        if votes != self.votes {
+            let change = if votes { "votes" } else { "has no vote" };
+            log::info!("replica {} {change} from entry {}", node.id(), node.log().members_index());
+            self.votes = votes;
+        }
     }
 
     /// Logs when the leader is lost, and when one is known again.
--- a/crates/fleet/src/controllers/replica_status.rs
+++ b/crates/fleet/src/controllers/replica_status.rs
@@ -30,6 +30,9 @@
     let lacking = status.behind.iter().map(|(_, count)| *count);
     let figures = [
         ("leads", u64::from(status.leads)),
+        ("votes", u64::from(status.voters.contains(&status.id))),
+        ("voters", status.voters.len() as u64),
+        ("learners", status.learners.len() as u64),
         ("leaderless_ms", status.leaderless.0),
         ("log_bytes", log.bytes as u64),
         ("log_entries", log.last.saturating_sub(log.snapshot).0),
@@ -53,7 +56,7 @@
     let behind = status.behind.iter();
     let behind: Vec<String> = behind.map(|(id, count)| format!("{id}:{count}")).collect();
     log::info!(
-        leads = status.leads, leaderless_ms = status.leaderless.0, last = log.last.0,
+        leads = status.leads, voters = status.voters.len(), learners = status.learners.len(), leaderless_ms = status.leaderless.0, last = log.last.0,
         applied = status.applied.0, log_bytes = log.bytes, snapshot = log.snapshot.0,
         snapshot_bytes = log.snapshot_bytes, disk_full = log.disk_full, held = log.held,
         behind:% = behind.join(" ");
