Replica: a host that replaces another one takes its seat before it is removed

Cause: a learner that had caught up got a vote only once a voter had missed five quorum checks, 2.5 to 3 s. Until then the group stood on the hosts that were about to go: with the second one gone, or any other lost, one voter of three was left.

Former voters stay as learners and can replace silent voters, without asking for a seat. A greeting says whether its sender belongs to the first start, so that a spare of the first start takes no seat; replicas tell the protocol the data centres that gossip knows.

--- a/crates/core/src/replica/bootstrap.rs
+++ b/crates/core/src/replica/bootstrap.rs
@@ -16,6 +16,8 @@
     pub blank: bool,
     /// Whether it asks to join the group.
     pub joins: bool,
+    /// Whether it belongs to the first start of the system.
+    pub founds: bool,
     /// Address that it serves on.
     pub address: SocketAddr,
 }
--- a/crates/core/src/replica/election.rs
+++ b/crates/core/src/replica/election.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 
-use super::change::MAX_MISSED_CHECKS;
 use super::input::Campaign;
 use super::input::Output;
 use super::log::Payload;
@@ -160,9 +159,13 @@
         self.append_payloads(vec![payload], out);
     }
 
-    /// Steps down unless a quorum responded since the last check, and counts the missed checks of
-    /// each member if unresponsive voters are replaced.
+    /// Steps down unless a quorum responded since the last check. If the number of voters is
+    /// maintained, also counts the checks that each member answered or missed, and hands over leadership
+    /// if this leader is the voter to retire.
     pub(super) fn check_quorum(&mut self, out: &mut Vec<Output>) {
+        if self.must_hand_over() {
+            self.transfer_leadership(out);
+        }
         let id = self.id;
         let Role::Leader(leader) = &mut self.role else {
             return;
@@ -170,14 +173,9 @@
         let active =
             |member| member == id || leader.peers.get(&member).is_some_and(|peer| peer.active);
         let has_quorum = self.log.members().has_quorum(active);
-        let counts_missed = self.target_voters.is_some();
+        let counts = self.target_voters.is_some();
         for peer in leader.peers.values_mut() {
-            peer.missed_checks = match peer.durable {
-                false if counts_missed => (peer.missed_checks + 1).min(MAX_MISSED_CHECKS),
-                _ => 0,
-            };
-            peer.active = false;
-            peer.durable = false;
+            peer.finish_check(counts);
         }
         if !has_quorum {
             self.become_follower(self.term, out);
--- a/crates/core/src/replica/input.rs
+++ b/crates/core/src/replica/input.rs
@@ -1,5 +1,6 @@
 //! Inputs and outputs of a node.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -8,6 +9,7 @@
 use super::log::Snapshot;
 use super::members::Members;
 use super::message::Message;
+use crate::id::DataCentre;
 use crate::id::ReplicaId;
 use crate::unit::Index;
 use crate::unit::Term;
@@ -53,7 +55,12 @@
         id: ReplicaId,
         /// Address that it serves on.
         address: SocketAddr,
+        /// Whether it belongs to the first start of the system. One that does not takes the seat of
+        /// an older member once it has caught up.
+        founds: bool,
     },
+    /// The data centres of replicas, by address, as far as they are known.
+    Centres(Arc<BTreeMap<SocketAddr, DataCentre>>),
     /// Creates a group with these members. Ignored unless the node is blank and one of the voters.
     Bootstrap(Members),
     /// The leader is about to stop: it asks another voter to take over, preferably one that holds
@@ -116,15 +123,30 @@
     Promoted(ReplicaId),
     /// A voter is removed, since a newer voter has its address: its disk was lost.
     Superseded(ReplicaId),
-    /// A voter is removed, since it is unresponsive and the target number is met without it.
+    /// A voter becomes a learner, since the target number is met without it. It is unresponsive, or else
+    /// there is one voter too many.
     Replaced(ReplicaId),
+    /// A voter becomes a learner, since a newcomer has taken its seat.
+    Succeeded {
+        /// The voter.
+        voter: ReplicaId,
+        /// The newcomer.
+        successor: ReplicaId,
+    },
+    /// A learner is removed, since it has been unresponsive for long.
+    Removed(ReplicaId),
 }
 
 impl MemberChange {
     /// Returns the member that changes.
     pub fn member(self) -> ReplicaId {
         match self {
-            Self::Joined(id) | Self::Promoted(id) | Self::Superseded(id) | Self::Replaced(id) => id,
+            Self::Joined(id)
+            | Self::Promoted(id)
+            | Self::Superseded(id)
+            | Self::Replaced(id)
+            | Self::Removed(id) => id,
+            Self::Succeeded { voter, .. } => voter,
         }
     }
 
@@ -135,6 +157,8 @@
             Self::Promoted(_) => "promoted",
             Self::Superseded(_) => "superseded",
             Self::Replaced(_) => "replaced",
+            Self::Succeeded { .. } => "succeeded",
+            Self::Removed(_) => "removed",
         }
     }
 }
--- a/crates/core/src/replica/members.rs
+++ b/crates/core/src/replica/members.rs
@@ -16,7 +16,8 @@
     pub address: SocketAddr,
     /// Whether it votes. A member without a vote is a learner, which only replicates the log.
     pub voter: bool,
-    /// Index of the entry that added it; zero for an initial member.
+    /// Index of the entry that added it; zero for a member of the first start. A voter that gives up
+    /// its seat to a newcomer gets the index of that one, so that the two remain known as a pair.
     pub since: Index,
 }
 
@@ -71,6 +72,72 @@
         positions.get(lower_median).copied().unwrap_or_default()
     }
 
+    /// Whether the member was added after the first start and has had no seat yet.
+    pub fn is_newcomer(&self, id: ReplicaId) -> bool {
+        let member = self.0.get(&id);
+        member.is_some_and(|member| !member.voter && member.since > Index::ZERO)
+            && self.partner(id).is_none()
+    }
+
+    /// Returns the member that gave up its seat to a voter, unless that one has a seat again.
+    pub fn predecessor(&self, voter: ReplicaId) -> Option<ReplicaId> {
+        let partner = self.partner(voter)?;
+        (self.is_voter(voter) && !self.is_voter(partner)).then_some(partner)
+    }
+
+    /// Makes a learner a voter. One that had given up its seat counts as a member of the first start
+    /// from then on.
+    pub(super) fn promote(&mut self, learner: ReplicaId) {
+        let is_newcomer = self.is_newcomer(learner);
+        if let Some(member) = self.0.get_mut(&learner) {
+            member.voter = true;
+            if !is_newcomer {
+                member.since = Index::ZERO;
+            }
+        }
+    }
+
+    /// Makes a voter a learner that may get a seat again, but does not ask for one. `successor` is the
+    /// newcomer that takes its seat, if any.
+    pub(super) fn retire(&mut self, voter: ReplicaId, successor: Option<ReplicaId>) {
+        self.separate(voter);
+        let since = successor
+            .and_then(|id| self.0.get(&id))
+            .map(|member| member.since);
+        if let Some(member) = self.0.get_mut(&voter) {
+            member.voter = false;
+            member.since = since.unwrap_or_default();
+        }
+    }
+
+    /// Removes a member.
+    pub(super) fn remove(&mut self, id: ReplicaId) {
+        self.separate(id);
+        self.0.remove(&id);
+    }
+
+    /// Ends the pair that a member belongs to. The one without a seat counts as a member of the first
+    /// start from then on, so it does not become a newcomer.
+    fn separate(&mut self, id: ReplicaId) {
+        let Some(partner) = self.partner(id) else {
+            return;
+        };
+        for member in [id, partner] {
+            if let Some(member) = self.0.get_mut(&member).filter(|member| !member.voter) {
+                member.since = Index::ZERO;
+            }
+        }
+    }
+
+    /// Returns the other member of a pair of successor and predecessor.
+    fn partner(&self, id: ReplicaId) -> Option<ReplicaId> {
+        let since = self.0.get(&id)?.since;
+        let others = self.0.iter().filter(|(other, _)| **other != id);
+        let mut partners = others.filter(|(_, member)| member.since == since);
+        let (partner, _) = partners.next()?;
+        (since > Index::ZERO).then_some(*partner)
+    }
+
     fn select(&self, voter: bool) -> impl Iterator<Item = ReplicaId> + '_ {
         self.0
             .iter()
--- a/crates/core/src/replica/mod.rs
+++ b/crates/core/src/replica/mod.rs
@@ -17,6 +17,7 @@
 mod mutations;
 mod node;
 mod peer;
+mod seats;
 mod timers;
 mod transfer;
 
--- a/crates/core/src/replica/mutations.rs
+++ b/crates/core/src/replica/mutations.rs
@@ -24,4 +24,8 @@
     pub single_entry: bool,
     /// A membership change may start before an entry of the leader's own term is committed.
     pub premature_changes: bool,
+    /// A newcomer gets a seat and its predecessor gives it up in one membership change.
+    pub direct_swaps: bool,
+    /// A predecessor gives up its seat before the newcomer has it.
+    pub early_retirements: bool,
 }
--- a/crates/core/src/replica/node.rs
+++ b/crates/core/src/replica/node.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::input::Campaign;
@@ -17,6 +18,7 @@
 use super::mutations::Mutations;
 use super::peer::Peer;
 use super::transfer::IncomingSnapshot;
+use crate::id::DataCentre;
 use crate::id::ReplicaId;
 use crate::unit::Index;
 use crate::unit::Term;
@@ -60,9 +62,10 @@
     pub(super) leader: Option<ReplicaId>,
     /// Whether a leader was heard from within the last minimum election timeout.
     pub(super) heard_leader: bool,
-    /// Number of voters to maintain by replacing unresponsive ones. If unset, every learner is
-    /// promoted and no voter is removed because it is unresponsive.
+    /// Number of voters to maintain. If unset, every learner is promoted and no voter is retired.
     pub(super) target_voters: Option<usize>,
+    /// Data centres of replicas, by address, as far as they are known.
+    pub(super) centres: Arc<BTreeMap<SocketAddr, DataCentre>>,
 }
 
 /// Role of a node in the current term.
@@ -125,6 +128,7 @@
             leader: None,
             heard_leader: false,
             target_voters: None,
+            centres: Arc::default(),
         }
     }
 
@@ -140,14 +144,19 @@
             Input::Heartbeat => self.start_round(out),
             Input::CheckQuorum => self.check_quorum(out),
             Input::Compact { index, data, keep } => self.compact(index, data, keep, out),
-            Input::Join { id, address } => self.add_learner(id, address, out),
+            Input::Join {
+                id,
+                address,
+                founds,
+            } => self.add_learner(id, address, founds, out),
+            Input::Centres(centres) => self.centres = centres,
             Input::Bootstrap(members) => self.bootstrap(members, out),
             Input::TransferLeadership => self.transfer_leadership(out),
         }
     }
 
-    /// Sets the number of voters to maintain by replacing unresponsive voters with learners. If
-    /// `None`, every learner is promoted and no voter is removed because it is unresponsive.
+    /// Sets the number of voters to maintain: learners replace unresponsive voters, and newcomers
+    /// take the seats of older members. If `None`, every learner is promoted and no voter is retired.
     pub fn with_target_voters(mut self, target_voters: Option<usize>) -> Self {
         self.target_voters = target_voters;
         self
@@ -227,6 +236,12 @@
         !(follows || members.is_voter(self.id))
     }
 
+    /// Returns the data centre of a member, if it is known.
+    pub(super) fn centre_of(&self, id: ReplicaId) -> Option<&DataCentre> {
+        let member = self.members().0.get(&id)?;
+        self.centres.get(&member.address)
+    }
+
     /// Handles a message, after comparing its term with the current one.
     fn receive(&mut self, from: ReplicaId, message: Message, out: &mut Vec<Output>) {
         match &message {
--- a/crates/core/src/replica/peer.rs
+++ b/crates/core/src/replica/peer.rs
@@ -4,6 +4,8 @@
 
 use super::log::Log;
 use super::log::Snapshot;
+use super::seats::MAX_LEARNER_MISSED_CHECKS;
+use super::seats::MIN_ANSWERED_CHECKS;
 use crate::unit::Index;
 
 /// Maximum number of unacknowledged appends with entries to one member.
@@ -29,9 +31,12 @@
     /// Whether the member responded since the last quorum check with what is durable on it. One whose
     /// disk hangs responds to heartbeats alone.
     pub durable: bool,
-    /// Consecutive quorum checks without a durable response, counted up to the limit at which the
-    /// member may be replaced.
+    /// Consecutive quorum checks without a durable response, counted up to the limit at which a
+    /// learner is removed.
     pub missed_checks: u32,
+    /// Consecutive quorum checks with a durable response, counted up to the number after which a
+    /// newcomer takes a seat.
+    pub answered_checks: u32,
 }
 
 /// How entries are sent to a member.
@@ -67,9 +72,23 @@
             active: false,
             durable: false,
             missed_checks: 0,
+            answered_checks: 0,
         }
     }
 
+    /// Ends the time of one quorum check. If `counts` is set, records whether the member answered it.
+    pub fn finish_check(&mut self, counts: bool) {
+        if counts && self.durable {
+            self.answered_checks = (self.answered_checks + 1).min(MIN_ANSWERED_CHECKS);
+            self.missed_checks = 0;
+        } else if counts {
+            self.answered_checks = 0;
+            self.missed_checks = (self.missed_checks + 1).min(MAX_LEARNER_MISSED_CHECKS);
+        }
+        self.active = false;
+        self.durable = false;
+    }
+
     /// Whether an append with entries may be sent now.
     pub fn can_send(&self, log: &Log) -> bool {
         match self.mode {
--- /dev/null
+++ b/crates/core/src/replica/seats.rs
@@ -0,0 +1,167 @@
+//! Seats: which members vote in a group that maintains a target number of voters.
+//!
+//! A replica that joins after the first start is a newcomer: it stands for a member that is about to
+//! be removed. Once it has caught up it takes the seat of that member, its predecessor, which becomes
+//! a learner and so may go at any moment. Nothing names the predecessor, so it is guessed.
+//! See `docs/agreement.md`, 'What must hold of the voters'.
+
+use super::input::MemberChange;
+use super::members::Members;
+use super::node::Node;
+use super::node::Role;
+use super::peer::Peer;
+use crate::id::ReplicaId;
+use crate::unit::Index;
+
+/// Consecutive quorum checks, one per election timeout, without a durable response after which a
+/// voter may be replaced. Together they last longer than a restart.
+pub(super) const MAX_MISSED_CHECKS: u32 = 5;
+
+/// Consecutive missed quorum checks, about a minute, after which a learner is removed.
+pub(super) const MAX_LEARNER_MISSED_CHECKS: u32 = 120;
+
+/// Consecutive quorum checks with a durable response before a newcomer takes a seat. By then it is
+/// known which members are gone.
+pub(super) const MIN_ANSWERED_CHECKS: u32 = 2;
+
+impl Node {
+    /// Returns the learner to promote next: one that has caught up and fills an open seat or, as a
+    /// newcomer, takes that of another member.
+    pub(super) fn next_voter(&self) -> Option<ReplicaId> {
+        let members = self.members();
+        let ready: Vec<ReplicaId> = self.caught_up_learners().collect();
+        let (newcomers, others): (Vec<ReplicaId>, Vec<ReplicaId>) =
+            ready.into_iter().partition(|id| members.is_newcomer(*id));
+        let ready = || newcomers.iter().chain(&others).copied();
+        let fills_seat = |id: &ReplicaId| self.has_open_seat(*id);
+        ready().find(fills_seat).or_else(|| {
+            let taking = newcomers
+                .iter()
+                .copied()
+                .filter(|id| self.may_take_seat(*id));
+            taking.min_by_key(|id| age(members, *id))
+        })
+    }
+
+    /// Returns the retirement of a voter if there are more voters than the target number: that of an
+    /// unresponsive one, or else of the one whose seat a newcomer has taken, or else of the oldest.
+    pub(super) fn surplus_voter(&self) -> Option<MemberChange> {
+        let members = self.members();
+        if members.voters().count() <= self.target_voters? {
+            return None;
+        }
+        let silent = members
+            .voters()
+            .max_by_key(|id| self.missed_checks(*id))
+            .filter(|id| self.missed_checks(*id) > 0);
+        if let Some(silent) = silent {
+            return Some(MemberChange::Replaced(silent));
+        }
+        let seated = members
+            .voters()
+            .filter(|id| members.predecessor(*id).is_none());
+        let successor = seated.max_by_key(|id| age(members, *id));
+        let succeeded = successor.and_then(|successor| {
+            let voter = self.predecessor_of(successor)?;
+            Some(MemberChange::Succeeded { voter, successor })
+        });
+        succeeded.or_else(|| {
+            let others = members.voters().filter(|id| *id != self.id);
+            let oldest = others.min_by_key(|id| age(members, *id));
+            oldest.map(MemberChange::Replaced)
+        })
+    }
+
+    /// Whether this leader has to hand over leadership, since it is the voter to retire.
+    pub(super) fn must_hand_over(&self) -> bool {
+        let surplus = self.surplus_voter();
+        self.can_change() && surplus.is_some_and(|change| change.member() == self.id)
+    }
+
+    /// Returns the learners that have missed so many quorum checks that they are removed.
+    pub(super) fn lost_learner(&self) -> Option<ReplicaId> {
+        let mut learners = self.members().learners();
+        learners.find(|id| self.missed_checks(*id) >= MAX_LEARNER_MISSED_CHECKS)
+    }
+
+    /// Returns the learner that has missed the most quorum checks, if it counts as unresponsive.
+    pub(super) fn most_silent_learner(&self) -> Option<ReplicaId> {
+        let learners = self.members().learners();
+        learners
+            .max_by_key(|id| self.missed_checks(*id))
+            .filter(|id| self.missed_checks(*id) >= MAX_MISSED_CHECKS)
+    }
+
+    /// Whether a learner may become a voter in addition to the present ones: there are fewer than the
+    /// target number, not counting those that are unresponsive or have the learner's address.
+    pub(super) fn has_open_seat(&self, learner: ReplicaId) -> bool {
+        let Some(target_voters) = self.target_voters else {
+            return true;
+        };
+        let members = &self.members().0;
+        let address = members.get(&learner).map(|member| member.address);
+        let others = members.iter().filter(|(id, member)| {
+            member.voter
+                && self.missed_checks(**id) < MAX_MISSED_CHECKS
+                && Some(member.address) != address
+        });
+        others.count() < target_voters
+    }
+
+    /// Whether a newcomer may take the seat of another member now: it has answered for a while, its
+    /// data centre is known, and no other seat is being taken.
+    fn may_take_seat(&self, newcomer: ReplicaId) -> bool {
+        let answered = |peer: &Peer| peer.answered_checks >= MIN_ANSWERED_CHECKS;
+        let voters = self.members().voters().count();
+        self.peer(newcomer).is_some_and(answered)
+            && self.target_voters.is_some_and(|target| voters <= target)
+            && self.centre_of(newcomer).is_some()
+            && self.predecessor_of(newcomer).is_some()
+    }
+
+    /// Returns the voter whose seat a newcomer takes: the oldest one in the newcomer's data centre, or
+    /// else the oldest one. A voter that took its seat from a member that still runs keeps it. Of voters of the
+    /// same age the leader comes last.
+    pub(super) fn predecessor_of(&self, newcomer: ReplicaId) -> Option<ReplicaId> {
+        let members = self.members();
+        let awaits_removal = |voter| {
+            let predecessor = members.predecessor(voter);
+            predecessor.is_some_and(|id| self.missed_checks(id) == 0)
+        };
+        let older = members
+            .voters()
+            .filter(|id| age(members, *id) < age(members, newcomer) && !awaits_removal(*id));
+        older.min_by_key(|id| {
+            let elsewhere = self.centre_of(*id) != self.centre_of(newcomer);
+            (elsewhere, age(members, *id), *id == self.id)
+        })
+    }
+
+    /// Returns the learners whose log contains all committed entries.
+    fn caught_up_learners(&self) -> impl Iterator<Item = ReplicaId> {
+        self.members().learners().filter(move |id| {
+            self.peer(*id).is_some_and(|peer| {
+                self.mutations.lagging_promotions || (peer.active && peer.matched >= self.commit)
+            })
+        })
+    }
+
+    /// Returns the number of quorum checks in a row that a member has missed.
+    fn missed_checks(&self, id: ReplicaId) -> u32 {
+        self.peer(id).map_or(0, |peer| peer.missed_checks)
+    }
+
+    /// Returns this leader's view of another member.
+    fn peer(&self, id: ReplicaId) -> Option<&Peer> {
+        match &self.role {
+            Role::Leader(leader) => leader.peers.get(&id),
+            Role::Follower(_) | Role::Candidate(..) => None,
+        }
+    }
+}
+
+/// Returns the index of the entry that added a member; zero for those of the first start.
+fn age(members: &Members, id: ReplicaId) -> Index {
+    let member = members.0.get(&id);
+    member.map_or(Index::ZERO, |member| member.since)
+}
--- a/crates/core/src/roster/table.rs
+++ b/crates/core/src/roster/table.rs
@@ -433,6 +433,14 @@
             .collect()
     }
 
+    /// Returns all known nodes with a role, this one included.
+    pub fn with_role(&self, role: Role) -> impl Iterator<Item = &NodeFact> {
+        let others = self.nodes.values().map(|member| &member.fact);
+        others
+            .chain([&self.own])
+            .filter(move |fact| fact.role == role)
+    }
+
     /// Returns the gRPC addresses of the other known nodes with a role, live ones first.
     pub fn rpc_addresses(&self, now: Millis, role: Role) -> Vec<SocketAddr> {
         let of_role = self
--- a/crates/core/tests/replica_founding.rs
+++ b/crates/core/tests/replica_founding.rs
@@ -69,6 +69,7 @@
         id: ReplicaId(id),
         blank,
         joins: blank,
+        founds: true,
         address: address(slot),
     };
     let answer = |(slot, (id, blank)): (&u16, &(u64, bool))| {
--- a/crates/core/tests/replica_model.rs
+++ b/crates/core/tests/replica_model.rs
@@ -7,7 +7,9 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
+use chestnutnotch_core::id::DataCentre;
 use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::replica::Campaign;
 use chestnutnotch_core::replica::Input;
@@ -52,6 +54,7 @@
         add(&|w| compact(w, id));
         add(&|w| crash(w, id));
         add(&|w| lose_disk(w, id, replacement));
+        add(&|w| remove(w, id));
         for (joiner, slot) in &world.bounds.joins {
             let (id, address) = (*joiner, address(*slot));
             add(&|w| join(w, id, address));
@@ -132,6 +135,13 @@
     world.add_blank(if replacement.same_id { id } else { new_id });
 }
 
+/// Removes a replica for good.
+fn remove(world: &mut World, id: ReplicaId) {
+    if world.bounds.removals.remove(&id) {
+        world.hosts.remove(&id);
+    }
+}
+
 /// Lets a replica outside the group ask the leader with the highest identity to join.
 fn join(world: &mut World, id: ReplicaId, address: std::net::SocketAddr) {
     let must_join = world
@@ -143,7 +153,15 @@
         let Some(leader) = leaders.last().map(|(id, _)| **id) else {
             return;
         };
-        world.step(leader, Input::Join { id, address });
+        let founds = false;
+        world.step(
+            leader,
+            Input::Join {
+                id,
+                address,
+                founds,
+            },
+        );
     }
 }
 
@@ -302,6 +320,7 @@
         let join = Input::Join {
             id: ReplicaId(id),
             address: address(id as u16),
+            founds: false,
         };
         world.step(ReplicaId(0), join);
         world.step(ReplicaId(0), Input::Heartbeat);
@@ -359,6 +378,67 @@
     world
 }
 
+/// Three voters led by replica 0, and a newcomer, replica 3, that has caught up and takes the seat of
+/// the voter in its data centre. Further events are in `bounds`.
+fn newcomer(mutations: Mutations, predecessor: u16, bounds: Bounds) -> World {
+    let centre = |slot| DataCentre::from(format!("{slot}").as_str());
+    let centres = (0..3).map(|slot| (address(slot), centre(slot)));
+    let centres = centres.chain([(address(3), centre(predecessor))]);
+    let bounds = Bounds {
+        target_voters: Some(3),
+        centres: Arc::new(centres.collect()),
+        ..bounds
+    };
+    let mut world = World::new(3, mutations, bounds);
+    let leader = ReplicaId(0);
+    world.elect(0, &[0, 1, 2]);
+    world.add_blank(ReplicaId(3));
+    let join = Input::Join {
+        id: ReplicaId(3),
+        address: address(3),
+        founds: false,
+    };
+    world.step(leader, join);
+    for _ in 0..2 {
+        world.step(leader, Input::Heartbeat);
+        world.deliver_among(&[0, 1, 2, 3]);
+        world.step(leader, Input::CheckQuorum);
+    }
+    world.clear_packets();
+    world.step(leader, Input::Heartbeat);
+    world
+}
+
+/// A newcomer that takes the seat of a follower, the removal of that one, and an election.
+fn succession(mutations: Mutations) -> World {
+    let bounds = Bounds {
+        campaigns: campaigns([(1, 1)]),
+        removals: BTreeSet::from([ReplicaId(2)]),
+        ..Bounds::default()
+    };
+    newcomer(mutations, 2, bounds)
+}
+
+/// A newcomer that takes the seat of the leader, which has to hand over leadership for that.
+fn succession_of_the_leader(mutations: Mutations) -> World {
+    let bounds = Bounds {
+        campaigns: campaigns([(0, 1)]),
+        removals: BTreeSet::from([ReplicaId(0)]),
+        ..Bounds::default()
+    };
+    newcomer(mutations, 0, bounds)
+}
+
+/// A newcomer that takes the seat of a follower, and the removal of that one and of the leader.
+fn succession_and_loss(mutations: Mutations) -> World {
+    let bounds = Bounds {
+        campaigns: campaigns([(1, 1)]),
+        removals: BTreeSet::from([ReplicaId(0), ReplicaId(2)]),
+        ..Bounds::default()
+    };
+    newcomer(mutations, 2, bounds)
+}
+
 /// Declares tests in which the correct protocol violates no invariant.
 macro_rules! holds {
     ($($name:ident: $start:ident;)*) => {
@@ -396,6 +476,8 @@
     losses_hold: disk_loss;
     growth_holds: two_learners;
     changes_hold: membership_changes;
+    succession_holds: succession;
+    succession_of_the_leader_holds: succession_of_the_leader;
 }
 
 finds! {
@@ -407,6 +489,8 @@
     promotes_early: disk_loss with lagging_promotions finds EarlyPromotion;
     changes_prematurely: membership_changes with premature_changes finds Incomplete | Diverged;
     changes_overlap: two_learners with overlapping_changes finds Incomplete | Diverged;
+    swaps_directly: succession with direct_swaps finds TwoLeaders | Incomplete | Diverged;
+    retires_early: succession with early_retirements finds TooFewVoters;
 }
 
 #[test]
@@ -453,6 +537,29 @@
     host.node.log().snapshot().at.index > Index(1) && host.node.log().base().index > Index(1)
 }
 
+/// Whether replica 3 votes in place of a replica that stays as a learner, in the committed membership.
+fn is_succeeded(world: &World, predecessor: u64) -> bool {
+    let voters = (0..4).map(ReplicaId).filter(|id| id.0 != predecessor);
+    world.hosts.values().any(|host| {
+        let members = host.node.members();
+        let committed = host.node.log().members_index() <= host.node.committed();
+        let stays = members.learners().eq([ReplicaId(predecessor)]);
+        host.node.leads() && committed && stays && members.voters().eq(voters.clone())
+    })
+}
+
+/// Whether the two replicas that are left lead and commit in a new term.
+fn is_led_by_the_rest(world: &World) -> bool {
+    let leads = |id: u64| {
+        let host = world.hosts.get(&ReplicaId(id));
+        host.is_some_and(|host| {
+            let committed = host.node.log().term(host.node.committed());
+            host.node.leads() && committed == Some(host.node.term())
+        })
+    };
+    world.hosts.len() == 2 && leads(1)
+}
+
 /// Declares tests in which the correct protocol has to reach a state.
 macro_rules! reached {
     ($($name:ident: $start:ident to $goal:expr;)*) => {
@@ -471,5 +578,8 @@
     read_is_answered_by_either: reads to |w| {
         !w.history.answered_reads.is_empty() && w.history.leaders.len() > 1
     };
+    predecessor_follows: succession to |w| is_succeeded(w, 2);
+    leader_hands_over_and_follows: succession_of_the_leader to |w| is_succeeded(w, 0);
+    successor_and_third_are_a_quorum: succession_and_loss to is_led_by_the_rest;
     election_is_won_thrice: alternating_elections to |w| w.history.leaders.len() > 2;
 }
--- a/crates/core/tests/replica_random.rs
+++ b/crates/core/tests/replica_random.rs
@@ -142,7 +142,12 @@
             if self.world.hosts[id].node.must_join() {
                 let address = self.addresses[id];
                 for other in &ids {
-                    self.world.step(*other, Input::Join { id: *id, address });
+                    let join = Input::Join {
+                        id: *id,
+                        address,
+                        founds: false,
+                    };
+                    self.world.step(*other, join);
                 }
             }
         }
--- a/crates/core/tests/replica_world/mod.rs
+++ b/crates/core/tests/replica_world/mod.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use chestnutnotch_core::id::DataCentre;
 use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::replica::Campaign;
 use chestnutnotch_core::replica::DurableState;
@@ -39,6 +40,8 @@
     EarlyPromotion,
     /// A restored snapshot does not match the entries committed up to its position.
     WrongSnapshot,
+    /// A leader has fewer voters than the target number, so that fewer of them may be lost.
+    TooFewVoters,
 }
 
 /// A replica with its disk.
@@ -106,6 +109,23 @@
     pub cut_links: BTreeSet<(u64, u64)>,
     /// Whether writes become durable in a separate step, rather than at once.
     pub delayed_sync: bool,
+    /// Replicas that may be removed for good.
+    pub removals: BTreeSet<ReplicaId>,
+    /// Number of voters to maintain.
+    pub target_voters: Option<usize>,
+    /// Data centres of replicas by address.
+    pub centres: Arc<BTreeMap<SocketAddr, DataCentre>>,
+}
+
+impl Bounds {
+    /// Creates a node that starts from a disk.
+    fn node(&self, id: ReplicaId, disk: DurableState, mutations: Mutations) -> Node {
+        let node = Node::with_mutations(id, disk, mutations);
+        let mut node = node.with_target_voters(self.target_voters);
+        let centres = Arc::clone(&self.centres);
+        node.step(Input::Centres(centres), &mut Vec::new());
+        node
+    }
 }
 
 /// State of the simulation.
@@ -160,12 +180,13 @@
             ..DurableState::default()
         };
         let host = |id| Host {
-            node: Node::with_mutations(id, durable.clone(), mutations),
+            node: bounds.node(id, durable.clone(), mutations),
             disk: durable.clone(),
             pending: Vec::new(),
         };
+        let hosts = ids.into_iter().map(|id| (id, Arc::new(host(id)))).collect();
         Self {
-            hosts: ids.into_iter().map(|id| (id, Arc::new(host(id)))).collect(),
+            hosts,
             packets: Arc::default(),
             history: Arc::new(history),
             bounds,
@@ -176,7 +197,9 @@
     /// Adds a replica with an empty disk.
     pub fn add_blank(&mut self, id: ReplicaId) {
         let host = Host {
-            node: Node::with_mutations(id, DurableState::default(), self.mutations),
+            node: self
+                .bounds
+                .node(id, DurableState::default(), self.mutations),
             disk: DurableState::default(),
             pending: Vec::new(),
         };
@@ -251,7 +274,7 @@
         };
         let disk = slot.disk.clone();
         *slot = Arc::new(Host {
-            node: Node::with_mutations(id, disk.clone(), self.mutations),
+            node: self.bounds.node(id, disk.clone(), self.mutations),
             disk,
             pending: Vec::new(),
         });
@@ -354,6 +377,14 @@
             }
         }
         if host.node.leads() {
+            let voters = host.node.members().voters().count();
+            if self
+                .bounds
+                .target_voters
+                .is_some_and(|target| voters < target)
+            {
+                history.violation = Some(Violation::TooFewVoters);
+            }
             let promoted: Vec<_> = host
                 .node
                 .members()
--- a/crates/fleet/src/controllers/nodes.rs
+++ b/crates/fleet/src/controllers/nodes.rs
@@ -169,6 +169,11 @@
         self.roster().rpc_addresses(self.now(), role)
     }
 
+    /// Returns all known nodes with a role, this one included.
+    pub fn with_role(&self, role: Role) -> Vec<NodeFact> {
+        self.roster().with_role(role).cloned().collect()
+    }
+
     /// Returns the other live nodes: heard of within the failure timeout and not leaving.
     pub fn live(&self) -> Vec<NodeFact> {
         self.roster().live(self.now()).cloned().collect()
--- a/crates/fleet/src/controllers/replica/actor.rs
+++ b/crates/fleet/src/controllers/replica/actor.rs
@@ -12,6 +12,7 @@
 use chestnutnotch_core::command::Reply;
 use chestnutnotch_core::config::Accepted;
 use chestnutnotch_core::evacuation::Evacuations;
+use chestnutnotch_core::id::DataCentre;
 use chestnutnotch_core::id::Operator;
 use chestnutnotch_core::machine::Machine;
 use chestnutnotch_core::map::Map;
@@ -33,6 +34,7 @@
 use super::apply::Applied;
 use super::apply::ApplyError;
 use super::error::ReplicaError;
+use super::handle::FoundPeer;
 use super::handle::ReplicaStatus;
 use super::meet::GREETING_MIN_PAUSE_MILLIS;
 use super::writer::Writer;
@@ -87,8 +89,8 @@
     SnapshotEncoded(Index, Result<Arc<[u8]>, ApplyError>),
     /// A round of greetings has finished.
     Greeted(HelloRound),
-    /// Discovery found other replicas at these addresses.
-    PeersFound(Vec<SocketAddr>),
+    /// Discovery found these replicas.
+    PeersFound(Vec<FoundPeer>),
     /// Transfer leadership, finish pending work and stop the actor.
     Stop,
 }
@@ -183,6 +185,8 @@
     pub(super) configured: Vec<SocketAddr>,
     /// Addresses to greet: the configured ones and those found by discovery.
     pub(super) peers: Vec<SocketAddr>,
+    /// Data centres of replicas, by address, as far as they are known.
+    pub(super) centres: Arc<BTreeMap<SocketAddr, DataCentre>>,
     /// Address of this replica.
     pub(super) address: SocketAddr,
     /// When the next snapshot is due.
@@ -313,6 +317,7 @@
                 pause: GREETING_MIN_PAUSE_MILLIS,
             },
             peers: arguments.peers,
+            centres: Arc::default(),
             address: arguments.address,
             snapshot_due: arguments.snapshot_due,
             applied_bytes: 0,
@@ -375,6 +380,7 @@
                     self.step(Input::Join {
                         id: hello.id,
                         address: hello.address,
+                        founds: hello.founds,
                     });
                 }
             }
--- a/crates/fleet/src/controllers/replica/carry.rs
+++ b/crates/fleet/src/controllers/replica/carry.rs
@@ -92,9 +92,14 @@
         let committed = node.log().members_at(node.committed());
         let member = members.0.get(&id).or_else(|| committed.0.get(&id));
         let address = member.map(|member| member.address.to_string());
+        let successor = match change {
+            MemberChange::Succeeded { successor, .. } => successor.to_string(),
+            _ => String::new(),
+        };
         let (voters, learners) = (members.voters().count(), members.learners().count());
         log::info!(
-            member:% = id, address = address.unwrap_or_default(), voters = voters, learners = learners;
+            member:% = id, address = address.unwrap_or_default(), successor = successor,
+            voters = voters, learners = learners;
             "member {}", change.name()
         );
     }
@@ -105,7 +110,11 @@
         let votes = node.members().is_voter(node.id());
         if votes != self.votes {
             let change = if votes { "votes" } else { "has no vote" };
-            log::info!("replica {} {change} from entry {}", node.id(), node.log().members_index());
+            log::info!(
+                "replica {} {change} from entry {}",
+                node.id(),
+                node.log().members_index()
+            );
             self.votes = votes;
         }
     }
--- a/crates/fleet/src/controllers/replica/handle.rs
+++ b/crates/fleet/src/controllers/replica/handle.rs
@@ -7,6 +7,7 @@
 use chestnutnotch_core::command::Reply;
 use chestnutnotch_core::config::Accepted;
 use chestnutnotch_core::evacuation::Evacuations;
+use chestnutnotch_core::id::DataCentre;
 use chestnutnotch_core::id::Operator;
 use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::machine::Machine;
@@ -50,6 +51,15 @@
     pub behind: Vec<(ReplicaId, u64)>,
 }
 
+/// A control replica that discovery found.
+#[derive(Clone, Debug)]
+pub struct FoundPeer {
+    /// Address that it serves on.
+    pub address: SocketAddr,
+    /// Data centre of its host.
+    pub centre: DataCentre,
+}
+
 /// Size and state of a replica's log.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LogStatus {
@@ -150,8 +160,8 @@
         self.evacuations.clone()
     }
 
-    /// Sets the addresses at which discovery found other replicas, in place of earlier ones.
-    pub fn set_peers(&self, peers: Vec<SocketAddr>) {
+    /// Sets the replicas that discovery found, in place of earlier ones. They may include this one.
+    pub fn set_peers(&self, peers: Vec<FoundPeer>) {
         // A stopped replica needs no peers.
         let _ = self.actor.send_message(ReplicaMessage::PeersFound(peers));
     }
--- a/crates/fleet/src/controllers/replica/meet.rs
+++ b/crates/fleet/src/controllers/replica/meet.rs
@@ -1,7 +1,9 @@
 //! Greetings between replicas: they tell a replica the identities of its peers, create a new group,
 //! and ask to join an existing one.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use chestnutnotch_core::id::ReplicaId;
 use chestnutnotch_core::replica::Hello;
@@ -12,6 +14,7 @@
 
 use super::actor::ReplicaMessage;
 use super::actor::ReplicaState;
+use super::handle::FoundPeer;
 
 /// Pause between two rounds of greetings while all peers answer.
 pub(super) const GREETING_MIN_PAUSE_MILLIS: u64 = 50;
@@ -26,6 +29,7 @@
             id: self.replica.node().id(),
             blank: self.replica.node().is_blank(),
             joins: self.wants_join(),
+            founds: self.discovery.is_none_or(|own| own.founds),
             address: self.address,
         }
     }
@@ -45,15 +49,35 @@
         }
     }
 
-    /// Sets the addresses found by discovery. The configured ones stay, since the creation of a
-    /// group needs all of them.
-    pub(super) fn set_peers(&mut self, found: Vec<SocketAddr>) {
+    /// Sets the addresses found by discovery, with their data centres. The configured ones stay, since
+    /// the creation of a group needs all of them. `found` may have the own address.
+    pub(super) fn set_peers(&mut self, found: Vec<FoundPeer>) {
         self.peers = self.configured.clone();
-        for peer in found {
-            if !self.peers.contains(&peer) {
-                self.peers.push(peer);
+        for peer in &found {
+            if peer.address != self.address && !self.peers.contains(&peer.address) {
+                self.peers.push(peer.address);
             }
         }
+        self.set_centres(found);
+    }
+
+    /// Tells the protocol the data centres of the replicas found. Those of members that are no longer
+    /// found stay known.
+    fn set_centres(&mut self, found: Vec<FoundPeer>) {
+        let node = self.replica.node();
+        let is_member = |at: &SocketAddr| {
+            node.members()
+                .0
+                .values()
+                .any(|member| member.address == *at)
+        };
+        let mut centres = BTreeMap::clone(&self.centres);
+        centres.retain(|address, _| is_member(address));
+        centres.extend(found.into_iter().map(|peer| (peer.address, peer.centre)));
+        if centres != *self.centres {
+            self.centres = Arc::new(centres);
+            self.step(Input::Centres(Arc::clone(&self.centres)));
+        }
     }
 
     /// Whether this replica may create a group. With discovery, only a configured address may, and
--- a/crates/fleet/src/controllers/replica/mod.rs
+++ b/crates/fleet/src/controllers/replica/mod.rs
@@ -13,6 +13,7 @@
 
 pub use error::ReplicaError;
 pub use error::StartError;
+pub use handle::FoundPeer;
 pub use handle::LogStatus;
 pub use handle::ReplicaHandle;
 pub use handle::ReplicaStatus;
--- a/crates/fleet/src/edges/rpc/peer.rs
+++ b/crates/fleet/src/edges/rpc/peer.rs
@@ -164,6 +164,7 @@
         id: ReplicaId(greeting.replica),
         blank: greeting.blank,
         joins: greeting.joins,
+        founds: greeting.founds,
         address: greeting.address.parse().ok()?,
     })
 }
@@ -173,6 +174,7 @@
         replica: hello.id.0,
         blank: hello.blank,
         joins: hello.joins,
+        founds: hello.founds,
         address: hello.address.to_string(),
     }
 }
--- a/crates/fleet/src/gateway/process.rs
+++ b/crates/fleet/src/gateway/process.rs
@@ -36,6 +36,7 @@
 use crate::controllers::nodes::Nodes;
 use crate::controllers::plan;
 use crate::controllers::plan::Routes;
+use crate::controllers::replica::FoundPeer;
 use crate::controllers::replica::ReplicaHandle;
 use crate::controllers::replica_status;
 use crate::controllers::room::RoomHandle;
@@ -597,7 +598,14 @@
 /// Keeps a replica's addresses of the other replicas up to date.
 async fn track_peers(nodes: Nodes, replica: ReplicaHandle) {
     loop {
-        replica.set_peers(nodes.rpc_addresses(Role::Control));
+        let found = nodes
+            .with_role(Role::Control)
+            .into_iter()
+            .map(|node| FoundPeer {
+                address: node.rpc,
+                centre: node.centre,
+            });
+        replica.set_peers(found.collect());
         // On a timeout the addresses are updated all the same.
         let _ = tokio::time::timeout(MAINTENANCE_PERIOD, nodes.changed()).await;
     }
--- a/crates/wire/src/proto.rs
+++ b/crates/wire/src/proto.rs
@@ -70,6 +70,9 @@
     /// Whether the sender asks to join the group.
     #[prost(bool, tag = "4")]
     pub joins: bool,
+    /// Whether the sender belongs to the first start of the system.
+    #[prost(bool, tag = "5")]
+    pub founds: bool,
 }
 /// Announcements and crash evidence from another router. An empty request fetches everything.
 #[derive(Clone, PartialEq, ::prost::Message)]
