--- a/crates/core/src/replica/change.rs
+++ b/crates/core/src/replica/change.rs
@@ -97,7 +97,8 @@
             .or_else(removed)
     }
 
-    /// Makes a learner a voter.
+    /// Makes a learner a voter. Tests of broken variants retire its predecessor in the same change, or
+    /// before.
     fn promote(&self, learner: ReplicaId, members: &mut Members) {
         let mutations = self.mutations;
         let takes_seat = !self.has_open_seat(learner);
--- a/crates/core/src/replica/seats.rs
+++ b/crates/core/src/replica/seats.rs
@@ -39,7 +39,7 @@
                 .iter()
                 .copied()
                 .filter(|id| self.may_take_seat(*id));
-            taking.min_by_key(|id| age(members, *id))
+            taking.min_by_key(|id| joined(members, *id))
         })
     }
 
@@ -60,14 +60,14 @@
         let seated = members
             .voters()
             .filter(|id| members.predecessor(*id).is_none());
-        let successor = seated.max_by_key(|id| age(members, *id));
+        let successor = seated.max_by_key(|id| joined(members, *id));
         let succeeded = successor.and_then(|successor| {
             let voter = self.predecessor_of(successor)?;
             Some(MemberChange::Succeeded { voter, successor })
         });
         succeeded.or_else(|| {
             let others = members.voters().filter(|id| *id != self.id);
-            let oldest = others.min_by_key(|id| age(members, *id));
+            let oldest = others.min_by_key(|id| joined(members, *id));
             oldest.map(MemberChange::Replaced)
         })
     }
@@ -120,8 +120,8 @@
     }
 
     /// Returns the voter whose seat a newcomer takes: the oldest one in the newcomer's data centre, or
-    /// else the oldest one. A voter that took its seat from a member that still runs keeps it. Of voters of the
-    /// same age the leader comes last.
+    /// else the oldest one. A voter that took its seat from a member that still runs keeps it, as that
+    /// member is the one to be removed. Of voters of the same age the leader comes last.
     pub(super) fn predecessor_of(&self, newcomer: ReplicaId) -> Option<ReplicaId> {
         let members = self.members();
         let awaits_removal = |voter| {
@@ -130,10 +130,10 @@
         };
         let older = members
             .voters()
-            .filter(|id| age(members, *id) < age(members, newcomer) && !awaits_removal(*id));
+            .filter(|id| joined(members, *id) < joined(members, newcomer) && !awaits_removal(*id));
         older.min_by_key(|id| {
             let elsewhere = self.centre_of(*id) != self.centre_of(newcomer);
-            (elsewhere, age(members, *id), *id == self.id)
+            (elsewhere, joined(members, *id), *id == self.id)
         })
     }
 
@@ -160,8 +160,9 @@
     }
 }
 
-/// Returns the index of the entry that added a member; zero for those of the first start.
-fn age(members: &Members, id: ReplicaId) -> Index {
+/// Returns the index by which members are ordered by age: that of the entry that added the member, or
+/// zero for those of the first start.
+fn joined(members: &Members, id: ReplicaId) -> Index {
     let member = members.0.get(&id);
     member.map_or(Index::ZERO, |member| member.since)
 }
