Replica: a replica at the address of a voter is newer than that one

Without discovery each greeting said that its sender belongs to the first start, so the replica that came back with an empty disk counted as old as its former self, and that one stayed a voter. The same with discovery, while the settings still say that it is the first start.

Change: a replica belongs to the first start only if its settings say so and no voter has its address. Without discovery none does; there are no seats to take.

--- a/crates/core/src/replica/change.rs
+++ b/crates/core/src/replica/change.rs
@@ -45,10 +45,12 @@
         if own == Some(address) || members.0.len() >= MAX_MEMBERS {
             return;
         }
+        // One that comes back at the address of a voter has to be newer than that one, to replace it.
+        let comes_back = members.0.values().any(|member| member.address == address);
         let member = Member {
             address,
             voter: false,
-            since: match founds {
+            since: match founds && !comes_back {
                 true => Index::ZERO,
                 false => self.log.last().index.next(),
             },
--- a/crates/core/tests/replica_seats.rs
+++ b/crates/core/tests/replica_seats.rs
@@ -472,3 +472,24 @@
     }
     assert_eq!(world.voters(), [58, 59, 60]);
 }
+
+// Guards against a voter that stays a member beside the replica that took over its address, because
+// both count as members of the first start.
+#[test]
+fn emptied_founder_replaces_itself_during_the_first_start() {
+    let mut world = World::new(3, Some(3));
+    world.down(3);
+    let id = ReplicaId(23);
+    let node = Node::new(id, DurableState::default()).with_target_voters(Some(3));
+    world.nodes.insert(id, node);
+    let join = Input::Join {
+        id,
+        address: address(3),
+        founds: true,
+    };
+    world.step(ReplicaId(1), join);
+    world.deliver_all();
+    (0..4).for_each(|_| world.run_round());
+    assert_eq!(world.voters(), [1, 2, 23]);
+    assert_eq!(world.nodes[&ReplicaId(1)].members().0.len(), 3);
+}
--- a/crates/fleet/src/controllers/replica/meet.rs
+++ b/crates/fleet/src/controllers/replica/meet.rs
@@ -29,7 +29,7 @@
             id: self.replica.node().id(),
             blank: self.replica.node().is_blank(),
             joins: self.wants_join(),
-            founds: self.discovery.is_none_or(|own| own.founds),
+            founds: self.discovery.is_some_and(|own| own.founds),
             address: self.address,
         }
     }
