core::replica: successors and votes instead of newcomers and seats

Cause: 'seat', 'newcomer' and 'hand over' are not the field's words for votes, members that replace others and transfers of leadership, and a seat is also something of this project's users.

--- a/crates/core/src/replica/change.rs
+++ b/crates/core/src/replica/change.rs
@@ -16,7 +16,7 @@
 const MAX_MEMBERS: usize = 16;
 
 impl Node {
-    /// Adds a replica as a learner, as a newcomer unless it belongs to the first start. Removes any
+    /// Adds a replica as a learner, as a successor unless it belongs to the first start. Removes any
     /// learner with the same address, and an unresponsive one if there is no room.
     pub(super) fn add_learner(
         &mut self,
@@ -103,8 +103,8 @@
     /// before.
     fn promote(&self, learner: ReplicaId, members: &mut Members) {
         let mutations = self.mutations;
-        let takes_seat = !self.has_open_seat(learner);
-        let predecessor = self.predecessor_of(learner).filter(|_| takes_seat);
+        let succeeds = !self.has_vacancy(learner);
+        let predecessor = self.predecessor_of(learner).filter(|_| succeeds);
         if let (true, Some(voter)) = (mutations.early_retirements, predecessor) {
             return members.retire(voter, Some(learner));
         }
--- a/crates/core/src/replica/election.rs
+++ b/crates/core/src/replica/election.rs
@@ -163,7 +163,7 @@
     /// maintained, also counts the checks that each member answered or missed, and hands over leadership
     /// if this leader is the voter to retire.
     pub(super) fn check_quorum(&mut self, out: &mut Vec<Output>) {
-        if self.must_hand_over() {
+        if self.must_transfer_leadership() {
             self.transfer_leadership(out);
         }
         let id = self.id;
--- a/crates/core/src/replica/input.rs
+++ b/crates/core/src/replica/input.rs
@@ -55,8 +55,8 @@
         id: ReplicaId,
         /// Address that it serves on.
         address: SocketAddr,
-        /// Whether it belongs to the first start of the system. One that does not takes the seat of
-        /// an older member once it has caught up.
+        /// Whether it belongs to the first start of the system. One that does not replaces an
+        /// older member once it has caught up.
         founds: bool,
     },
     /// The data centres of replicas, by address, as far as they are known.
@@ -126,11 +126,11 @@
     /// A voter becomes a learner, since the target number is met without it. It is unresponsive, or else
     /// there is one voter too many.
     Replaced(ReplicaId),
-    /// A voter becomes a learner, since a newcomer has taken its seat.
+    /// A voter becomes a learner, since its successor votes.
     Succeeded {
         /// The voter.
         voter: ReplicaId,
-        /// The newcomer.
+        /// Its successor.
         successor: ReplicaId,
     },
     /// A learner is removed, since it has been unresponsive for long.
--- a/crates/core/src/replica/members.rs
+++ b/crates/core/src/replica/members.rs
@@ -16,8 +16,8 @@
     pub address: SocketAddr,
     /// Whether it votes. A member without a vote is a learner, which only replicates the log.
     pub voter: bool,
-    /// Index of the entry that added it; zero for a member of the first start. A voter that gives up
-    /// its seat to a newcomer gets the index of that one, so that the two remain known as a pair.
+    /// Index of the entry that added it; zero for a member of the first start. A voter that a
+    /// successor replaces gets the index of that one, so that the two remain known as a pair.
     pub since: Index,
 }
 
@@ -72,33 +72,33 @@
         positions.get(lower_median).copied().unwrap_or_default()
     }
 
-    /// Whether the member was added after the first start and has had no seat yet.
-    pub fn is_newcomer(&self, id: ReplicaId) -> bool {
+    /// Whether the member was added after the first start and has not voted yet.
+    pub fn is_successor(&self, id: ReplicaId) -> bool {
         let member = self.0.get(&id);
         member.is_some_and(|member| !member.voter && member.since > Index::ZERO)
             && self.partner(id).is_none()
     }
 
-    /// Returns the member that gave up its seat to a voter, unless that one has a seat again.
+    /// Returns the member that a voter replaced, unless that member votes again.
     pub fn predecessor(&self, voter: ReplicaId) -> Option<ReplicaId> {
         let partner = self.partner(voter)?;
         (self.is_voter(voter) && !self.is_voter(partner)).then_some(partner)
     }
 
-    /// Makes a learner a voter. One that had given up its seat counts as a member of the first start
+    /// Makes a learner a voter. One that was replaced before counts as a member of the first start
     /// from then on.
     pub(super) fn promote(&mut self, learner: ReplicaId) {
-        let is_newcomer = self.is_newcomer(learner);
+        let is_successor = self.is_successor(learner);
         if let Some(member) = self.0.get_mut(&learner) {
             member.voter = true;
-            if !is_newcomer {
+            if !is_successor {
                 member.since = Index::ZERO;
             }
         }
     }
 
-    /// Makes a voter a learner that may get a seat again, but does not ask for one. `successor` is the
-    /// newcomer that takes its seat, if any.
+    /// Makes a voter a learner that may vote again, but is nobody's successor. `successor` is the one
+    /// that replaces it, if any.
     pub(super) fn retire(&mut self, voter: ReplicaId, successor: Option<ReplicaId>) {
         self.separate(voter);
         let since = successor
@@ -116,8 +116,8 @@
         self.0.remove(&id);
     }
 
-    /// Ends the pair that a member belongs to. The one without a seat counts as a member of the first
-    /// start from then on, so it does not become a newcomer.
+    /// Ends the pair that a member belongs to. The one without a vote counts as a member of the first
+    /// start from then on, so it does not become a successor.
     fn separate(&mut self, id: ReplicaId) {
         let Some(partner) = self.partner(id) else {
             return;
--- a/crates/core/src/replica/mod.rs
+++ b/crates/core/src/replica/mod.rs
@@ -17,7 +17,7 @@
 mod mutations;
 mod node;
 mod peer;
-mod seats;
+mod succession;
 mod timers;
 mod transfer;
 
--- a/crates/core/src/replica/mutations.rs
+++ b/crates/core/src/replica/mutations.rs
@@ -24,8 +24,8 @@
     pub single_entry: bool,
     /// A membership change may start before an entry of the leader's own term is committed.
     pub premature_changes: bool,
-    /// A newcomer gets a seat and its predecessor gives it up in one membership change.
+    /// A successor becomes a voter and its predecessor a learner in one membership change.
     pub direct_swaps: bool,
-    /// A predecessor gives up its seat before the newcomer has it.
+    /// A predecessor becomes a learner before its successor votes.
     pub early_retirements: bool,
 }
--- a/crates/core/src/replica/node.rs
+++ b/crates/core/src/replica/node.rs
@@ -155,8 +155,8 @@
         }
     }
 
-    /// Sets the number of voters to maintain: learners replace unresponsive voters, and newcomers
-    /// take the seats of older members. If `None`, every learner is promoted and no voter is retired.
+    /// Sets the number of voters to maintain: learners replace unresponsive voters, and
+    /// successors their predecessors. If `None`, every learner is promoted and no voter is retired.
     pub fn with_target_voters(mut self, target_voters: Option<usize>) -> Self {
         self.target_voters = target_voters;
         self
--- a/crates/core/src/replica/peer.rs
+++ b/crates/core/src/replica/peer.rs
@@ -4,8 +4,8 @@
 
 use super::log::Log;
 use super::log::Snapshot;
-use super::seats::MAX_LEARNER_MISSED_CHECKS;
-use super::seats::MIN_ANSWERED_CHECKS;
+use super::succession::MAX_LEARNER_MISSED_CHECKS;
+use super::succession::MIN_ANSWERED_CHECKS;
 use crate::unit::Index;
 
 /// Maximum number of unacknowledged appends with entries to one member.
@@ -35,7 +35,7 @@
     /// learner is removed.
     pub missed_checks: u32,
     /// Consecutive quorum checks with a durable response, counted up to the number after which a
-    /// newcomer takes a seat.
+    /// successor becomes a voter.
     pub answered_checks: u32,
 }
 
--- a/crates/core/src/replica/seats.rs
+++ b/crates/core/src/replica/succession.rs
@@ -1,8 +1,8 @@
-//! Seats: which members vote in a group that maintains a target number of voters.
+//! Which members vote in a group that maintains a target number of voters.
 //!
-//! A replica that joins after the first start is a newcomer: it stands for a member that is about to
-//! be removed. Once it has caught up it takes the seat of that member, its predecessor, which becomes
-//! a learner and so may go at any moment. Nothing names the predecessor, so it is guessed.
+//! A replica that joins after the first start is the successor of a member that is about to be
+//! removed. Once it has caught up it votes in place of that member, its predecessor, which becomes a
+//! learner and so may go at any moment. Nothing names the predecessor, so it is guessed.
 //! See `docs/agreement.md`, 'What must hold of the voters'.
 
 use super::input::MemberChange;
@@ -20,31 +20,31 @@
 /// Consecutive missed quorum checks, about a minute, after which a learner is removed.
 pub(super) const MAX_LEARNER_MISSED_CHECKS: u32 = 120;
 
-/// Consecutive quorum checks with a durable response before a newcomer takes a seat. By then it is
-/// known which members are gone.
+/// Consecutive quorum checks with a durable response before a successor becomes a voter. By then
+/// it is known which members are gone.
 pub(super) const MIN_ANSWERED_CHECKS: u32 = 2;
 
 impl Node {
-    /// Returns the learner to promote next: one that has caught up and fills an open seat or, as a
-    /// newcomer, takes that of another member.
+    /// Returns the learner to promote next: one that has caught up and fills a vacancy or, as a
+    /// successor, replaces another member.
     pub(super) fn next_voter(&self) -> Option<ReplicaId> {
         let members = self.members();
         let ready: Vec<ReplicaId> = self.caught_up_learners().collect();
-        let (newcomers, others): (Vec<ReplicaId>, Vec<ReplicaId>) =
-            ready.into_iter().partition(|id| members.is_newcomer(*id));
-        let ready = || newcomers.iter().chain(&others).copied();
-        let fills_seat = |id: &ReplicaId| self.has_open_seat(*id);
-        ready().find(fills_seat).or_else(|| {
-            let taking = newcomers
+        let (successors, others): (Vec<ReplicaId>, Vec<ReplicaId>) =
+            ready.into_iter().partition(|id| members.is_successor(*id));
+        let ready = || successors.iter().chain(&others).copied();
+        let fills_vacancy = |id: &ReplicaId| self.has_vacancy(*id);
+        ready().find(fills_vacancy).or_else(|| {
+            let succeeding = successors
                 .iter()
                 .copied()
-                .filter(|id| self.may_take_seat(*id));
-            taking.min_by_key(|id| joined(members, *id))
+                .filter(|id| self.may_succeed(*id));
+            succeeding.min_by_key(|id| joined(members, *id))
         })
     }
 
     /// Returns the retirement of a voter if there are more voters than the target number: that of an
-    /// unresponsive one, or else of the one whose seat a newcomer has taken, or else of the oldest.
+    /// unresponsive one, or else of the predecessor of a successor that votes, or else of the oldest.
     pub(super) fn surplus_voter(&self) -> Option<MemberChange> {
         let members = self.members();
         if members.voters().count() <= self.target_voters? {
@@ -57,10 +57,10 @@
         if let Some(silent) = silent {
             return Some(MemberChange::Replaced(silent));
         }
-        let seated = members
+        let unpaired = members
             .voters()
             .filter(|id| members.predecessor(*id).is_none());
-        let successor = seated.max_by_key(|id| joined(members, *id));
+        let successor = unpaired.max_by_key(|id| joined(members, *id));
         let succeeded = successor.and_then(|successor| {
             let voter = self.predecessor_of(successor)?;
             Some(MemberChange::Succeeded { voter, successor })
@@ -73,7 +73,7 @@
     }
 
     /// Whether this leader has to hand over leadership, since it is the voter to retire.
-    pub(super) fn must_hand_over(&self) -> bool {
+    pub(super) fn must_transfer_leadership(&self) -> bool {
         let surplus = self.surplus_voter();
         self.can_change() && surplus.is_some_and(|change| change.member() == self.id)
     }
@@ -94,7 +94,7 @@
 
     /// Whether a learner may become a voter in addition to the present ones: there are fewer than the
     /// target number, not counting those that are unresponsive or have the learner's address.
-    pub(super) fn has_open_seat(&self, learner: ReplicaId) -> bool {
+    pub(super) fn has_vacancy(&self, learner: ReplicaId) -> bool {
         let Some(target_voters) = self.target_voters else {
             return true;
         };
@@ -108,21 +108,21 @@
         others.count() < target_voters
     }
 
-    /// Whether a newcomer may take the seat of another member now: it has answered for a while, its
-    /// data centre is known, and no other seat is being taken.
-    fn may_take_seat(&self, newcomer: ReplicaId) -> bool {
+    /// Whether a successor may replace another voter now: it has answered for a while, its data centre
+    /// is known, and no other voter is being replaced.
+    fn may_succeed(&self, successor: ReplicaId) -> bool {
         let answered = |peer: &Peer| peer.answered_checks >= MIN_ANSWERED_CHECKS;
         let voters = self.members().voters().count();
-        self.peer(newcomer).is_some_and(answered)
+        self.peer(successor).is_some_and(answered)
             && self.target_voters.is_some_and(|target| voters <= target)
-            && self.centre_of(newcomer).is_some()
-            && self.predecessor_of(newcomer).is_some()
+            && self.centre_of(successor).is_some()
+            && self.predecessor_of(successor).is_some()
     }
 
-    /// Returns the voter whose seat a newcomer takes: the oldest one in the newcomer's data centre, or
-    /// else the oldest one. A voter that took its seat from a member that still runs keeps it, as that
-    /// member is the one to be removed. Of voters of the same age the leader comes last.
-    pub(super) fn predecessor_of(&self, newcomer: ReplicaId) -> Option<ReplicaId> {
+    /// Returns the voter that a successor replaces: the oldest one in the successor's data centre, or
+    /// else the oldest one. A voter whose own predecessor still runs stays, as that member is the one
+    /// to be removed. Of voters of the same age the leader comes last.
+    pub(super) fn predecessor_of(&self, successor: ReplicaId) -> Option<ReplicaId> {
         let members = self.members();
         let awaits_removal = |voter| {
             let predecessor = members.predecessor(voter);
@@ -130,9 +130,9 @@
         };
         let older = members
             .voters()
-            .filter(|id| joined(members, *id) < joined(members, newcomer) && !awaits_removal(*id));
+            .filter(|id| joined(members, *id) < joined(members, successor) && !awaits_removal(*id));
         older.min_by_key(|id| {
-            let elsewhere = self.centre_of(*id) != self.centre_of(newcomer);
+            let elsewhere = self.centre_of(*id) != self.centre_of(successor);
             (elsewhere, joined(members, *id), *id == self.id)
         })
     }
--- a/crates/core/tests/replica_model.rs
+++ b/crates/core/tests/replica_model.rs
@@ -378,9 +378,9 @@
     world
 }
 
-/// Three voters led by replica 0, and a newcomer, replica 3, that has caught up and takes the seat of
+/// Three voters led by replica 0, and a successor, replica 3, that has caught up and replaces
 /// the voter in its data centre. Further events are in `bounds`.
-fn newcomer(mutations: Mutations, predecessor: u16, bounds: Bounds) -> World {
+fn succession_of(mutations: Mutations, predecessor: u16, bounds: Bounds) -> World {
     let centre = |slot| DataCentre::from(format!("{slot}").as_str());
     let centres = (0..3).map(|slot| (address(slot), centre(slot)));
     let centres = centres.chain([(address(3), centre(predecessor))]);
@@ -409,34 +409,34 @@
     world
 }
 
-/// A newcomer that takes the seat of a follower, the removal of that one, and an election.
+/// A successor that replaces a follower, the removal of that one, and an election.
 fn succession(mutations: Mutations) -> World {
     let bounds = Bounds {
         campaigns: campaigns([(1, 1)]),
         removals: BTreeSet::from([ReplicaId(2)]),
         ..Bounds::default()
     };
-    newcomer(mutations, 2, bounds)
+    succession_of(mutations, 2, bounds)
 }
 
-/// A newcomer that takes the seat of the leader, which has to hand over leadership for that.
+/// A successor that replaces the leader, which has to transfer leadership for that.
 fn succession_of_the_leader(mutations: Mutations) -> World {
     let bounds = Bounds {
         campaigns: campaigns([(0, 1)]),
         removals: BTreeSet::from([ReplicaId(0)]),
         ..Bounds::default()
     };
-    newcomer(mutations, 0, bounds)
+    succession_of(mutations, 0, bounds)
 }
 
-/// A newcomer that takes the seat of a follower, and the removal of that one and of the leader.
+/// A successor that replaces a follower, and the removal of that one and of the leader.
 fn succession_and_loss(mutations: Mutations) -> World {
     let bounds = Bounds {
         campaigns: campaigns([(1, 1)]),
         removals: BTreeSet::from([ReplicaId(0), ReplicaId(2)]),
         ..Bounds::default()
     };
-    newcomer(mutations, 2, bounds)
+    succession_of(mutations, 2, bounds)
 }
 
 /// Declares tests in which the correct protocol violates no invariant.
--- a/crates/core/tests/replica_seats.rs
+++ b/crates/core/tests/replica_voters.rs
@@ -1,5 +1,5 @@
-//! A group that maintains its number of voters: learners replace unresponsive voters, and newcomers
-//! take the seats of the members that they stand for.
+//! A group that maintains its number of voters: learners replace unresponsive voters, and
+//! successors the members that they stand for.
 #![allow(clippy::unwrap_used)]
 
 use std::collections::BTreeMap;
@@ -33,8 +33,8 @@
     queue: VecDeque<(ReplicaId, ReplicaId, Message)>,
     /// Number of voters to maintain.
     target_voters: Option<usize>,
-    /// Replicas that join as newcomers.
-    newcomers: BTreeSet<ReplicaId>,
+    /// Replicas that join as successors.
+    successors: BTreeSet<ReplicaId>,
     /// Data centres by address.
     centres: BTreeMap<SocketAddr, DataCentre>,
 }
@@ -59,7 +59,7 @@
             down: Vec::new(),
             queue: VecDeque::new(),
             target_voters,
-            newcomers: BTreeSet::new(),
+            successors: BTreeSet::new(),
             centres: BTreeMap::new(),
         };
         let members = Members::initial((1..=founders).map(|id| (ReplicaId(id), address(id))));
@@ -111,12 +111,12 @@
         *id
     }
 
-    /// Starts a replica that joins as a newcomer in a data centre.
+    /// Starts a replica that joins as a successor in a data centre.
     fn add(&mut self, id: u64, centre: &str) {
         let node = Node::new(ReplicaId(id), DurableState::default());
         let node = node.with_target_voters(self.target_voters);
         self.nodes.insert(ReplicaId(id), node);
-        self.newcomers.insert(ReplicaId(id));
+        self.successors.insert(ReplicaId(id));
         self.locate(id, centre);
     }
 
@@ -128,9 +128,9 @@
         }
     }
 
-    /// Runs rounds until all newcomers have had time to take a seat.
+    /// Runs rounds until all successors have had time to become voters.
     fn settle(&mut self) {
-        (0..4 + 4 * self.newcomers.len()).for_each(|_| self.run_round());
+        (0..4 + 4 * self.successors.len()).for_each(|_| self.run_round());
     }
 
     /// Runs one heartbeat round and one quorum check of the leader, after each node that has to
@@ -149,7 +149,7 @@
                 Input::Join {
                     id,
                     address: address(id.0),
-                    founds: !self.newcomers.contains(&id),
+                    founds: !self.successors.contains(&id),
                 },
             );
             self.deliver_all();
@@ -232,7 +232,7 @@
 }
 
 #[test]
-fn without_seats_every_learner_is_promoted() {
+fn without_a_target_every_learner_is_promoted() {
     let mut world = World::new(4, None);
     (0..10).for_each(|_| world.run_round());
     assert_eq!(world.voters(), [1, 2, 3, 4]);
@@ -271,12 +271,12 @@
 }
 
 /// A group whose members with the identities 1 to `2 * tolerance + 1` are in data centres of their own,
-/// and `count` newcomers with identities from 21 on, which have caught up. `centre` gives the data
-/// centre of each newcomer, counted from 1.
+/// and `count` successors with identities from 21 on, which have caught up. `centre` gives the data
+/// centre of each successor, counted from 1.
 fn replaced(tolerance: u64, count: u64, centre: impl Fn(u64) -> String) -> World {
-    let seats = 2 * tolerance + 1;
-    let mut world = World::founded_by(seats, seats, Some(seats as usize));
-    for id in 1..=seats {
+    let voters = 2 * tolerance + 1;
+    let mut world = World::founded_by(voters, voters, Some(voters as usize));
+    for id in 1..=voters {
         world.locate(id, &id.to_string());
     }
     (0..3).for_each(|_| world.run_round());
@@ -310,7 +310,7 @@
     left * 2 > voters.len()
 }
 
-/// Declares tests in which newcomers in the data centres of their predecessors have caught up: without
+/// Declares tests in which successors in the data centres of their predecessors have caught up: without
 /// the predecessors and any others as many as may be lost, a quorum is left.
 macro_rules! predecessors_may_go {
     ($($name:ident: $tolerance:literal may be lost, $count:literal replaced;)*) => {
@@ -339,8 +339,8 @@
     five_of_five: 2 may be lost, 5 replaced;
 }
 
-/// Declares tests in which newcomers are in other data centres than all members: without any older
-/// members as many as there are newcomers, a quorum is left.
+/// Declares tests in which successors are in other data centres than all members: without any older
+/// members as many as there are successors, a quorum is left.
 macro_rules! any_older_may_go {
     ($($name:ident: $tolerance:literal may be lost, $count:literal replaced;)*) => {
         $(
@@ -374,7 +374,7 @@
 }
 
 #[test]
-fn newcomer_waits_until_its_data_centre_is_known() {
+fn successor_waits_until_its_data_centre_is_known() {
     let mut world = World::new(3, Some(3));
     world.add(21, "1");
     let located = std::mem::take(&mut world.centres);
@@ -387,10 +387,10 @@
 }
 
 #[test]
-fn newcomer_takes_the_seat_of_one_that_took_its_own() {
+fn successor_replaces_one_whose_predecessor_is_gone() {
     let mut world = replaced(1, 1, |_| "3".to_owned());
     assert_eq!(world.voters(), [1, 2, 21]);
-    // Its predecessor is gone, so the first newcomer may be replaced too.
+    // Its predecessor is gone, so the first successor may be replaced too.
     world.down(3);
     world.add(22, "3");
     world.settle();
@@ -398,7 +398,7 @@
 }
 
 #[test]
-fn silent_voter_loses_its_seat_to_a_newcomer_of_another_data_centre() {
+fn silent_voter_is_replaced_by_a_successor_of_another_data_centre() {
     let mut world = World::new(3, Some(3));
     for id in 1..=3 {
         world.locate(id, &id.to_string());
@@ -411,19 +411,19 @@
 }
 
 #[test]
-fn seats_stay_where_they_are_while_members_freeze_in_turn() {
+fn voters_stay_while_members_freeze_in_turn() {
     let mut world = replaced(1, 2, |number| (number + 1).to_string());
-    let seated = world.voters();
-    assert_eq!(seated, [1, 21, 22]);
+    let voters = world.voters();
+    assert_eq!(voters, [1, 21, 22]);
     let term = world.nodes[&world.leader()].term();
     for id in [2, 21, 3, 22, 21, 2] {
         world.down(id);
         (0..4).for_each(|_| world.run_round());
         world.down.clear();
         (0..4).for_each(|_| world.run_round());
-        assert_eq!(world.voters(), seated);
+        assert_eq!(world.voters(), voters);
     }
-    // Longer than a restart: the seat goes to a former voter, and stays there.
+    // Longer than a restart: a former voter takes its place, and keeps it.
     world.down(22);
     (0..8).for_each(|_| world.run_round());
     let moved = world.voters();
@@ -435,7 +435,7 @@
 }
 
 #[test]
-fn former_voter_takes_a_seat_again_when_its_successor_is_lost() {
+fn former_voter_votes_again_when_its_successor_is_lost() {
     let mut world = replaced(1, 1, |_| "3".to_owned());
     assert_eq!(world.voters(), [1, 2, 21]);
     world.down(21);
