fleet: large bodies of requests in mappings of their own

Cause: the allocator keeps freed buffers in arenas that can't shrink while small allocations lie above.

Change: edges::http::buffer, an anonymous mapping (memmap2) for a body of more than 64 KiB. If the system refuses a mapping, the heap as before.

--- a/crates/fleet/src/edges/http/memory.rs
+++ b/crates/fleet/src/edges/http/memory.rs
@@ -19,6 +19,8 @@
 use tokio::sync::Semaphore;
 use tokio::sync::futures::OwnedNotified;
 
+use super::buffer::Buffer;
+
 /// Memory for the bodies of answers. Cheap to clone; clones share it.
 #[derive(Clone, Debug)]
 pub struct AnswerMemory {
@@ -93,13 +95,13 @@
 #[derive(Debug)]
 struct Bodies {
     shares: BodyShares,
-    buffers: Map<BodyId, Buffer>,
+    incoming: Map<BodyId, IncomingBody>,
 }
 
-/// Buffer of a body that is still being sent.
+/// A body that is still being sent.
 #[derive(Debug, Default)]
-struct Buffer {
-    bytes: Vec<u8>,
+struct IncomingBody {
+    buffer: Buffer,
     /// Wakes the reader once the body has given way.
     ended: Arc<Notify>,
 }
@@ -113,7 +115,7 @@
     pub fn new(bytes: usize) -> Self {
         let bodies = Bodies {
             shares: BodyShares::new(bytes),
-            buffers: Map::default(),
+            incoming: Map::default(),
         };
         Self(Arc::new(Mutex::new(bodies)))
     }
@@ -122,9 +124,9 @@
     pub fn begin(&self) -> HeldBody {
         let mut bodies = self.lock();
         let id = bodies.shares.begin();
-        let buffer = Buffer::default();
-        let ended = Arc::clone(&buffer.ended);
-        bodies.buffers.insert(id, buffer);
+        let body = IncomingBody::default();
+        let ended = Arc::clone(&body.ended);
+        bodies.incoming.insert(id, body);
         HeldBody {
             memory: self.clone(),
             id,
@@ -148,7 +150,7 @@
         let mut bodies = self.lock();
         let oldest = bodies.shares.end_oldest();
         if let Some(id) = oldest {
-            bodies.drop_buffer(id);
+            bodies.discard(id);
         }
         oldest.is_some()
     }
@@ -159,17 +161,17 @@
 }
 
 impl Bodies {
-    fn drop_buffer(&mut self, id: BodyId) {
-        if let Some(buffer) = self.buffers.remove(&id) {
-            buffer.ended.notify_one();
+    fn discard(&mut self, id: BodyId) {
+        if let Some(body) = self.incoming.remove(&id) {
+            body.ended.notify_one();
         }
     }
 
     /// Sets the buffer of a body.
     fn set(&mut self, id: BodyId, bytes: Vec<u8>) -> Result<(), NoRoom> {
         self.grow(id, bytes.capacity())?;
-        let buffer = self.buffers.get_mut(&id).ok_or(NoRoom)?;
-        buffer.bytes = bytes;
+        let body = self.incoming.get_mut(&id).ok_or(NoRoom)?;
+        body.buffer = bytes.into();
         Ok(())
     }
 
@@ -177,7 +179,7 @@
     fn grow(&mut self, id: BodyId, bytes: usize) -> Result<(), NoRoom> {
         match self.shares.grow(id, bytes) {
             Growth::Granted(ended) => {
-                ended.into_iter().for_each(|id| self.drop_buffer(id));
+                ended.into_iter().for_each(|id| self.discard(id));
                 Ok(())
             }
             Growth::Refused => Err(NoRoom),
@@ -186,18 +188,19 @@
 
     /// Appends to a body, whose buffer doubles up to `most` bytes.
     fn append(&mut self, id: BodyId, data: &[u8], most: usize) -> Result<(), NoRoom> {
-        let buffer = self.buffers.get(&id).ok_or(NoRoom)?;
-        let (length, capacity) = (buffer.bytes.len(), buffer.bytes.capacity());
-        let needed = length + data.len();
-        if needed > capacity {
-            let wanted = (2 * capacity).min(most).max(needed);
+        let held = &self.incoming.get(&id).ok_or(NoRoom)?.buffer;
+        let capacity = held.capacity();
+        let needed = held.as_ref().len() + data.len();
+        let wanted = match needed > capacity {
+            true => (2 * capacity).min(most).max(needed),
+            false => capacity,
+        };
+        if wanted > capacity {
             self.grow(id, wanted)?;
-            if let Some(buffer) = self.buffers.get_mut(&id) {
-                buffer.bytes.reserve_exact(wanted - length);
-            }
         }
-        let buffer = self.buffers.get_mut(&id).ok_or(NoRoom)?;
-        buffer.bytes.extend_from_slice(data);
+        let buffer = &mut self.incoming.get_mut(&id).ok_or(NoRoom)?.buffer;
+        buffer.grow(wanted);
+        buffer.append(data);
         Ok(())
     }
 }
@@ -249,12 +252,12 @@
         if !bodies.shares.complete(self.id) {
             return Err(NoRoom);
         }
-        let buffer = bodies.buffers.remove(&self.id).ok_or(NoRoom)?;
+        let buffer = bodies.incoming.remove(&self.id).ok_or(NoRoom)?.buffer;
         drop(bodies);
-        match buffer.bytes.is_empty() {
+        match buffer.as_ref().is_empty() {
             true => Ok(Bytes::new()),
             false => Ok(Bytes::from_owner(CompleteBody {
-                bytes: buffer.bytes,
+                buffer,
                 _body: self,
             })),
         }
@@ -265,18 +268,18 @@
     fn drop(&mut self) {
         let mut bodies = self.memory.lock();
         bodies.shares.end(self.id);
-        bodies.buffers.remove(&self.id);
+        bodies.incoming.remove(&self.id);
     }
 }
 
 /// A complete body with its share.
 struct CompleteBody {
-    bytes: Vec<u8>,
+    buffer: Buffer,
     _body: HeldBody,
 }
 
 impl AsRef<[u8]> for CompleteBody {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.buffer.as_ref()
     }
 }
--- a/crates/fleet/src/edges/http/mod.rs
+++ b/crates/fleet/src/edges/http/mod.rs
@@ -5,11 +5,12 @@
 //! responses, [`read`] reads the bodies of requests and [`answer`] those of upstreams' answers, of
 //! which it decides whether they are complete. All of them bound bytes and time. [`not_run`] is the
 //! evidence that an upstream did not run a request, and [`pause`] the time for which it wants none. [`framing`] tells how the end of a body is
-//! marked, [`memory`] bounds what the bodies of all requests and answers take, and [`events`] splits a body of server-sent events. [`shared`] lets [`pool`] look at a
+//! marked, [`memory`] bounds what the bodies of all requests and answers take, in the buffers of [`buffer`], and [`events`] splits a body of server-sent events. [`shared`] lets [`pool`] look at a
 //! connection before it is used again, [`ended`] finds upstreams that have ended by refused connections, [`progress`] bounds what is read without a part of an answer, [`traffic`] counts bytes, and [`waiting`] finds connections that can be closed to make room.
 
 pub mod answer;
 pub mod body;
+mod buffer;
 pub mod caller;
 pub mod client;
 pub mod counted;
