--- a/crates/core/tests/replica_model.rs
+++ b/crates/core/tests/replica_model.rs
@@ -579,7 +579,7 @@
         !w.history.answered_reads.is_empty() && w.history.leaders.len() > 1
     };
     predecessor_follows: succession to |w| is_succeeded(w, 2);
-    leader_hands_over_and_follows: succession_of_the_leader to |w| is_succeeded(w, 0);
+    leader_transfers_and_follows: succession_of_the_leader to |w| is_succeeded(w, 0);
     successor_and_third_are_a_quorum: succession_and_loss to is_led_by_the_rest;
     election_is_won_thrice: alternating_elections to |w| w.history.leaders.len() > 2;
 }
--- a/crates/core/tests/replica_voters.rs
+++ b/crates/core/tests/replica_voters.rs
@@ -1,5 +1,5 @@
 //! A group that maintains its number of voters: learners replace unresponsive voters, and
-//! successors the members that they stand for.
+//! successors the members that they replace.
 #![allow(clippy::unwrap_used)]
 
 use std::collections::BTreeMap;
@@ -366,7 +366,7 @@
 }
 
 #[test]
-fn replaced_leader_hands_over_and_follows() {
+fn replaced_leader_transfers_and_follows() {
     let world = replaced(1, 1, |_| "1".to_owned());
     assert_eq!(world.voters(), [2, 3, 21]);
     assert_ne!(world.leader(), ReplicaId(1));
