core::replica: leadership goes to the newest voter

Cause: a leader that is to be replaced transferred leadership to any voter with the whole log, often the next one to be replaced. A host that is removed then counts as lost beside others.

Change: of the voters that can lead, the newest member is asked, a successor if there is one. Members::joined moves from the rule.

--- a/crates/core/src/replica/election.rs
+++ b/crates/core/src/replica/election.rs
@@ -201,17 +201,19 @@
     }
 
     /// Asks a voter to start an election at once, preferably one that has the whole log and
-    /// responded since the last check.
+    /// responded since the last check. Of these the newest member is chosen, as an older one may soon
+    /// have to transfer leadership to its own successor.
     pub(super) fn transfer_leadership(&mut self, out: &mut Vec<Output>) {
         let Role::Leader(leader) = &self.role else {
             return;
         };
         let last = self.log.last().index;
+        let members = self.log.members();
         let successor = leader
             .peers
             .iter()
-            .filter(|(id, _)| self.log.members().is_voter(**id))
-            .max_by_key(|(_, peer)| (peer.matched == last, peer.active))
+            .filter(|(id, _)| members.is_voter(**id))
+            .max_by_key(|(id, peer)| (peer.matched == last, peer.active, members.joined(**id)))
             .map(|(id, _)| *id);
         if let Some(successor) = successor {
             self.send_after_sync(successor, Message::Stand { term: self.term }, out);
--- a/crates/core/src/replica/members.rs
+++ b/crates/core/src/replica/members.rs
@@ -72,6 +72,13 @@
         positions.get(lower_median).copied().unwrap_or_default()
     }
 
+    /// Returns the index by which members are ordered by age: that of the entry that added the member,
+    /// or zero for those of the first start.
+    pub fn joined(&self, id: ReplicaId) -> Index {
+        let member = self.0.get(&id);
+        member.map_or(Index::ZERO, |member| member.since)
+    }
+
     /// Whether the member was added after the first start and has not voted yet.
     pub fn is_successor(&self, id: ReplicaId) -> bool {
         let member = self.0.get(&id);
--- a/crates/core/src/replica/succession.rs
+++ b/crates/core/src/replica/succession.rs
@@ -6,12 +6,10 @@
 //! See `docs/agreement.md`, 'What must hold of the voters'.
 
 use super::input::MemberChange;
-use super::members::Members;
 use super::node::Node;
 use super::node::Role;
 use super::peer::Peer;
 use crate::id::ReplicaId;
-use crate::unit::Index;
 
 /// Consecutive quorum checks, one per election timeout, without a durable response after which a
 /// voter may be replaced. Together they last longer than a restart.
@@ -39,7 +37,7 @@
                 .iter()
                 .copied()
                 .filter(|id| self.may_succeed(*id));
-            succeeding.min_by_key(|id| joined(members, *id))
+            succeeding.min_by_key(|id| members.joined(*id))
         })
     }
 
@@ -60,14 +58,14 @@
         let unpaired = members
             .voters()
             .filter(|id| members.predecessor(*id).is_none());
-        let successor = unpaired.max_by_key(|id| joined(members, *id));
+        let successor = unpaired.max_by_key(|id| members.joined(*id));
         let succeeded = successor.and_then(|successor| {
             let voter = self.predecessor_of(successor)?;
             Some(MemberChange::Succeeded { voter, successor })
         });
         succeeded.or_else(|| {
             let others = members.voters().filter(|id| *id != self.id);
-            let oldest = others.min_by_key(|id| joined(members, *id));
+            let oldest = others.min_by_key(|id| members.joined(*id));
             oldest.map(MemberChange::Replaced)
         })
     }
@@ -130,10 +128,10 @@
         };
         let older = members
             .voters()
-            .filter(|id| joined(members, *id) < joined(members, successor) && !awaits_removal(*id));
+            .filter(|id| members.joined(*id) < members.joined(successor) && !awaits_removal(*id));
         older.min_by_key(|id| {
             let elsewhere = self.centre_of(*id) != self.centre_of(successor);
-            (elsewhere, joined(members, *id), *id == self.id)
+            (elsewhere, members.joined(*id), *id == self.id)
         })
     }
 
@@ -159,10 +157,3 @@
         }
     }
 }
-
-/// Returns the index by which members are ordered by age: that of the entry that added the member, or
-/// zero for those of the first start.
-fn joined(members: &Members, id: ReplicaId) -> Index {
-    let member = members.0.get(&id);
-    member.map_or(Index::ZERO, |member| member.since)
-}
--- a/crates/core/tests/replica_voters.rs
+++ b/crates/core/tests/replica_voters.rs
@@ -365,6 +365,24 @@
     any_four_of_five: 2 may be lost, 4 replaced;
 }
 
+/// Quorum checks within the time that the users give a new host to catch up, 4 s.
+const CATCH_UP_CHECKS: u32 = 8;
+
+// Guards against a transfer of leadership to the next voter to be replaced, which has to transfer it
+// again: each transfer delays the other successors by three checks.
+#[test]
+fn successors_vote_in_time_if_the_leader_is_replaced() {
+    let mut world = World::new(3, Some(3));
+    for id in 1..=3 {
+        world.locate(id, &id.to_string());
+    }
+    for (id, centre) in [(0, "1"), (22, "3"), (23, "2")] {
+        world.add(id, centre);
+    }
+    (0..CATCH_UP_CHECKS).for_each(|_| world.run_round());
+    assert_eq!(world.voters(), [0, 22, 23]);
+}
+
 #[test]
 fn replaced_leader_transfers_and_follows() {
     let world = replaced(1, 1, |_| "1".to_owned());
